--- /dev/null
+++ b/src/main/java/org/oakwalk/adapter/HttpCaller.java
@@ -0,0 +1,110 @@
+package org.oakwalk.adapter;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ByteBufferPool;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.component.LifeCycle;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.wire.BadMessage;
+import org.oakwalk.wire.HttpMessage;
+import org.oakwalk.wire.Outgoing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends a request of the core to an address and turns what comes back into an answer. */
+public final class HttpCaller implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpCaller.class);
+  private static final int LARGEST_ANSWER = 8 << 20;
+
+  private final HttpClient client;
+  private final Set<String> complained = ConcurrentHashMap.newKeySet();
+
+  public HttpCaller(Executor executor, Scheduler scheduler, ByteBufferPool buffers)
+      throws Exception {
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    connector.setExecutor(executor);
+    connector.setScheduler(scheduler);
+    connector.setByteBufferPool(buffers);
+    connector.setConnectTimeout(Duration.ofMillis(1500));
+    client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setExecutor(executor);
+    client.setScheduler(scheduler);
+    client.setByteBufferPool(buffers);
+    client.setSocketAddressResolver(new SocketAddressResolver.Sync());
+    client.setHttpCookieStore(new HttpCookieStore.Empty());
+    client.setFollowRedirects(false);
+    client.setUserAgentField(null);
+    client.setMaxConnectionsPerDestination(16);
+    client.setMaxRequestsQueuedPerDestination(256);
+    client.setIdleTimeout(60_000);
+    client.start();
+  }
+
+  /** Sends; the answer comes on any thread, exactly once. */
+  void send(String address, Request request, long timeoutMillis, Consumer<Answer> then) {
+    HttpMessage message = Outgoing.encode(request);
+    org.eclipse.jetty.client.Request http =
+        client
+            .newRequest("http://" + address + message.path())
+            .method(message.method())
+            .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    if (message.body() != null) {
+      http.body(new BytesRequestContent("application/msgpack", message.body()));
+    }
+    http.send(
+        new BufferingResponseListener(LARGEST_ANSWER) {
+          @Override
+          public void onComplete(Result result) {
+            then.accept(answer(address, request, result, getContent()));
+          }
+        });
+  }
+
+  private Answer answer(String address, Request request, Result result, byte[] content) {
+    if (result.isFailed()) {
+      return failure(result);
+    }
+    int status = result.getResponse().getStatus();
+    if (status >= 500 && status != 503) {
+      return new Answer.Nothing("status " + status);
+    }
+    try {
+      return Outgoing.decode(request, status, content == null ? new byte[0] : content);
+    } catch (BadMessage e) {
+      if (complained.add(request.getClass().getSimpleName() + e.getMessage())) {
+        LOG.error("bad answer from {} to {}: {}", address, request, e.getMessage());
+      }
+      return new Answer.Nothing("bad answer");
+    }
+  }
+
+  /** A connection that never came about carried no request; after that, anything is possible. */
+  private static Answer failure(Result result) {
+    Throwable cause = result.getFailure();
+    String reason = cause.getClass().getSimpleName();
+    boolean neverSent =
+        cause instanceof java.net.ConnectException
+            || cause instanceof java.net.SocketTimeoutException;
+    return neverSent ? new Answer.Refused(0, reason) : new Answer.Nothing(reason);
+  }
+
+  @Override
+  public void close() {
+    LifeCycle.stop(client);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/cli/CheckCommand.java
@@ -0,0 +1,27 @@
+package org.oakwalk.cli;
+
+import java.util.concurrent.Callable;
+import org.oakwalk.daemon.PlatformSettings;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParentCommand;
+import picocli.CommandLine.Spec;
+
+/** Reads the settings, says whether they can be used, and ends. */
+@Command(
+    name = "check",
+    description = "Checks the settings files and exits.",
+    mixinStandardHelpOptions = true)
+final class CheckCommand implements Callable<Integer> {
+  @ParentCommand private Main main;
+
+  @Spec private CommandSpec spec;
+
+  @Override
+  public Integer call() throws Exception {
+    PlatformSettings settings = main.settings();
+    main.policy();
+    spec.commandLine().getOut().println("settings of node " + settings.core().node() + " are fine");
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/cli/Main.java
@@ -0,0 +1,90 @@
+package org.oakwalk.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.oakwalk.core.Policy;
+import org.oakwalk.daemon.BadSettings;
+import org.oakwalk.daemon.Daemon;
+import org.oakwalk.daemon.PlatformSettings;
+import org.oakwalk.daemon.PolicyFile;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ScopeType;
+import picocli.CommandLine.Spec;
+
+/** The command line. Without a subcommand it runs a controller node. */
+@Command(
+    name = "oakwalk",
+    description = "A cluster scheduler for rented machines.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    exitCodeOnInvalidInput = Main.USAGE,
+    subcommands = {CheckCommand.class})
+public final class Main implements Callable<Integer> {
+  static final int USAGE = 2;
+
+  @Spec private CommandSpec spec;
+
+  @Option(
+      names = "--config",
+      paramLabel = "FILE",
+      scope = ScopeType.INHERIT,
+      description = "Settings that the platform hands over (TOML).")
+  private Path config;
+
+  @Option(
+      names = "--policy",
+      paramLabel = "FILE",
+      scope = ScopeType.INHERIT,
+      description = "The operators' own settings (HCL); every field has a default.")
+  private Path policy;
+
+  /** Runs the command line and ends the process with its exit code. */
+  public static void main(String[] args) {
+    System.exit(commandLine().execute(args));
+  }
+
+  static CommandLine commandLine() {
+    CommandLine line = new CommandLine(new Main());
+    line.setExecutionExceptionHandler(
+        (exception, command, result) -> {
+          if (exception instanceof BadSettings) {
+            command.getErr().println("oakwalk: " + exception.getMessage());
+            return USAGE;
+          }
+          throw exception;
+        });
+    return line;
+  }
+
+  PlatformSettings settings() throws BadSettings {
+    if (config == null) {
+      throw new CommandLine.ParameterException(
+          spec.commandLine(), "Missing required option: '--config=FILE'");
+    }
+    return PlatformSettings.read(config);
+  }
+
+  Policy policy() throws BadSettings {
+    return policy == null ? Policy.defaults() : PolicyFile.read(policy);
+  }
+
+  @Override
+  public Integer call() throws Exception {
+    try (Daemon daemon = new Daemon(settings(), policy())) {
+      daemon.await();
+    }
+    return 0;
+  }
+
+  /** Reads the version from the archive. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"oakwalk " + (version == null ? "development" : version)};
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -0,0 +1,205 @@
+package org.oakwalk.core;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oakwalk.core.capacity.Catalogue;
+import org.oakwalk.core.job.UserDesk;
+import org.oakwalk.core.leadership.Leadership;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Effect;
+import org.oakwalk.core.port.Event;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.store.KnownJob;
+import org.oakwalk.core.store.StoreView;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A controller node without input or output: events go in, effects come out. It has no clock, no
+ * thread and no randomness of its own, so the same events always give the same effects.
+ */
+public final class Controller {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final Span DIGEST_EVERY = Span.millis(1000);
+  private static final Span SUMMARY_EVERY = Span.seconds(10);
+  private static final Span COAST_MARGIN = Span.seconds(2);
+  private static final Span READY_WITHOUT_CONTACT = Span.seconds(6);
+  private static final Span SOON = Span.seconds(1);
+
+  private final Settings settings;
+  private final Outbox outbox = new Outbox();
+  private final StoreView view;
+  private final Leadership leadership;
+  private final UserDesk desk;
+  private final Catalogue catalogue;
+  private Optional<Reign> reign = Optional.empty();
+  private Moment nextDigest = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
+  private Moment now = new Moment(0);
+  private WallTime wall = new WallTime(0);
+
+  /**
+   * A node that has just started.
+   *
+   * @param incarnation tells this life of the node from all others
+   */
+  public Controller(Settings settings, Policy policy, String incarnation) {
+    this.settings = settings;
+    this.view = new StoreView(outbox, settings.state().requestsPerSecond());
+    Span coastLimit =
+        settings.workers().cancel().minus(settings.workers().lease()).minus(COAST_MARGIN);
+    this.leadership =
+        new Leadership(
+            outbox,
+            view,
+            settings.node(),
+            incarnation,
+            coastLimit,
+            new Leadership.Listener() {
+              @Override
+              public void rises(Token token, Moment at) {
+                reign =
+                    Optional.of(
+                        new Reign(
+                            token,
+                            settings,
+                            policy,
+                            outbox,
+                            view,
+                            coastLimit,
+                            seen -> leadership().higherTokenSeen(seen, now),
+                            at));
+              }
+
+              @Override
+              public void falls(Token token, Moment at) {
+                reign = Optional.empty();
+              }
+            });
+    this.desk = new UserDesk(outbox, view, settings.teams());
+    this.catalogue = new Catalogue(outbox);
+    view.listen(
+        new StoreView.Listener() {
+          @Override
+          public void leaderChanged(Moment at) {
+            leadership.leaderChanged(at);
+          }
+
+          @Override
+          public void jobChanged(KnownJob job, Moment at) {
+            reign.ifPresent(r -> r.jobChanged(job, at));
+          }
+        });
+  }
+
+  private Leadership leadership() {
+    return leadership;
+  }
+
+  /** Takes an event and returns what is to be done. */
+  public List<Effect> handle(Event event, Moment steady, WallTime dayTime) {
+    now = steady;
+    wall = dayTime;
+    desk.clock(now, wall);
+    step(event);
+    return outbox.drain();
+  }
+
+  private void step(Event event) {
+    if (event instanceof Event.Tick) {
+      tick();
+    } else if (event instanceof Event.Answered answered) {
+      outbox.answered(answered.call(), answered.answer());
+    } else if (event instanceof Event.WorkerReports reports) {
+      outbox.respond(reports.exchange(), report(reports.report()));
+    } else if (event instanceof Event.UserAsks asks) {
+      desk.serve(asks.request(), response -> outbox.respond(asks.exchange(), response));
+    } else if (event instanceof Event.HealthAsked asked) {
+      outbox.respond(asked.exchange(), health());
+    } else if (event instanceof Event.PeerSays says) {
+      peer(says);
+    }
+  }
+
+  private void tick() {
+    view.tick(now);
+    leadership.tick(now);
+    catalogue.tick(leadership.reigning(), now);
+    desk.types(catalogue.types());
+    reign.ifPresent(r -> r.tick(catalogue.types(), leadership.mayAnswer(now), now, wall));
+    if (reign.isPresent() && !nextDigest.isAfter(now)) {
+      nextDigest = now.plus(DIGEST_EVERY);
+      digest(reign.get());
+    }
+    if (reign.isPresent() && !nextSummary.isAfter(now)) {
+      nextSummary = now.plus(SUMMARY_EVERY);
+      LOG.info("{}", reign.get().summary());
+    }
+  }
+
+  private void digest(Reign current) {
+    Map<JobId, PeerMessage.Counts> counts = current.counts();
+    desk.counts(counts);
+    PeerMessage message = new PeerMessage.Digest(settings.node(), current.token(), counts);
+    for (NodeId peer : settings.peers()) {
+      outbox.call(
+          new Request.Tell(peer, message),
+          answer -> {
+            if (answer instanceof Answer.Told told
+                && told.message() instanceof PeerMessage.Acknowledged acknowledged
+                && acknowledged.settled()) {
+              reign
+                  .filter(r -> r == current)
+                  .ifPresent(r -> r.peerSettled(acknowledged.from(), now));
+            }
+          });
+    }
+  }
+
+  private Response report(Report report) {
+    if (reign.isPresent() && report.token().compareTo(reign.get().token()) > 0) {
+      leadership.higherTokenSeen(report.token(), now);
+    }
+    if (reign.isPresent() && leadership.mayAnswer(now)) {
+      Optional<List<Order>> orders = reign.get().report(report, now);
+      return orders.isPresent()
+          ? new Response.Orders(reign.get().token(), orders.get())
+          : Response.unavailable("machine types not known yet", SOON);
+    }
+    return new Response.Elsewhere(
+        view.leader()
+            .map(leader -> leader.record().node())
+            .filter(node -> !node.equals(settings.node())));
+  }
+
+  private Response health() {
+    boolean serves =
+        view.loaded() && desk.knowsTypes() && !now.past(view.contact(), READY_WITHOUT_CONTACT);
+    return serves ? new Response.Ready() : Response.unavailable("not ready", SOON);
+  }
+
+  private void peer(Event.PeerSays says) {
+    if (says.message() instanceof PeerMessage.Digest digest) {
+      leadership.higherTokenSeen(digest.token(), now);
+      if (reign.isEmpty()) {
+        desk.counts(digest.counts());
+      }
+      outbox.respond(
+          says.exchange(),
+          new Response.ToPeer(
+              new PeerMessage.Acknowledged(settings.node(), !leadership.reigning())));
+    } else if (says.message() instanceof PeerMessage.Forward forward) {
+      desk.serve(
+          forward.request(),
+          response ->
+              outbox.respond(
+                  says.exchange(), new Response.ToPeer(new PeerMessage.Forwarded(response))));
+    } else {
+      outbox.respond(says.exchange(), Response.refusal(400, "unexpected message"));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/JobId.java
@@ -0,0 +1,23 @@
+package org.oakwalk.core;
+
+import java.util.regex.Pattern;
+
+/** Name of a job, chosen by its user. */
+public record JobId(String value) implements Comparable<JobId> {
+  private static final Pattern FORM = Pattern.compile("j-[0-9]{1,18}");
+
+  /** Whether a text has the form of a job id. */
+  public static boolean wellFormed(String text) {
+    return text != null && FORM.matcher(text).matches();
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Policy.java
@@ -0,0 +1,33 @@
+package org.oakwalk.core;
+
+/** The operators' own choices; every default is documented in docs/operations.md. */
+public record Policy(Scoring scoring, Hosts hosts, Span round, Capacity capacity) {
+
+  /** Weights of the score. */
+  public record Scoring(
+      double alpha,
+      double deadlineWeight,
+      double remainingWeight,
+      double waitWeight,
+      double guaranteeBonus) {}
+
+  /** Choice of machines. */
+  public record Hosts(double mark, double imageWeight, int reserveAfterRounds) {}
+
+  /** What to rent and what to return. */
+  public record Capacity(
+      double headroom,
+      int spareMachines,
+      Span idle,
+      double spotShare,
+      Span suspectAfter,
+      Span bootPatience) {}
+
+  public static Policy defaults() {
+    return new Policy(
+        new Scoring(0.3, 0.3, 0.3, 0.35, 20),
+        new Hosts(0.9, 1.0, 2),
+        Span.seconds(2),
+        new Capacity(0.25, 2, Span.seconds(60), 0.5, Span.seconds(8), Span.seconds(120)));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -0,0 +1,243 @@
+package org.oakwalk.core;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.oakwalk.core.capacity.Capacity;
+import org.oakwalk.core.fleet.Courier;
+import org.oakwalk.core.fleet.Fleet;
+import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.job.ResultWriter;
+import org.oakwalk.core.placement.Placer;
+import org.oakwalk.core.placement.Quota;
+import org.oakwalk.core.placement.RunTimes;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.recovery.Recovery;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.KnownJob;
+import org.oakwalk.core.store.StoreView;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** All that a leader knows and does under one token; it ends with the token. */
+final class Reign implements Fleet.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
+  private static final Span EVENT_ROUND_SPACING = Span.millis(100);
+
+  private final Token token;
+  private final Policy policy;
+  private final JobBook jobs;
+  private final Fleet fleet;
+  private final Courier courier;
+  private final Registry registry;
+  private final ResultWriter results;
+  private final Recovery recovery;
+  private final RunTimes runTimes = new RunTimes();
+  private final Placer placer;
+  private final Capacity capacity;
+  private boolean roundDue = true;
+  private Moment nextRegular;
+  private Moment lastRound = new Moment(Long.MIN_VALUE / 2);
+  private Map<String, MachineType> types = Map.of();
+  private boolean placedOnce;
+  private final Moment rose;
+  private Moment clock;
+
+  Reign(
+      Token token,
+      Settings settings,
+      Policy policy,
+      Outbox outbox,
+      StoreView view,
+      Span coastLimit,
+      Consumer<Token> higherToken,
+      Moment now) {
+    this.token = token;
+    this.policy = policy;
+    this.rose = now;
+    this.clock = now;
+    this.nextRegular = now;
+    Guard guard = new Guard(Keys.LEADER, new Revision(token.value()));
+    Span suspectAfter = settings.workers().report().times(2.2);
+    int changes = settings.state().changesPerCommit();
+    this.jobs = new JobBook(view, token, now);
+    this.fleet = new Fleet(token, jobs, view, settings.workers(), this);
+    this.courier =
+        new Courier(
+            outbox,
+            fleet,
+            report -> {
+              if (report.token().compareTo(token) > 0) {
+                higherToken.accept(report.token());
+              } else {
+                fleet.report(report, false, clock);
+              }
+            });
+    this.registry = new Registry(outbox, fleet, guard, changes);
+    this.results = new ResultWriter(outbox, jobs, view, guard, settings.state());
+    this.recovery =
+        new Recovery(outbox, fleet, jobs, results, registry, settings.peers(), coastLimit, now);
+    this.placer =
+        new Placer(fleet, jobs, policy, new Quota(settings.teams(), fleet), runTimes, suspectAfter);
+    this.capacity =
+        new Capacity(
+            outbox, fleet, jobs, registry, policy.capacity(), settings, runTimes, suspectAfter);
+  }
+
+  Token token() {
+    return token;
+  }
+
+  /** A job was stored, finished or withdrawn. */
+  void jobChanged(KnownJob known, Moment now) {
+    Optional<Job> withdrawn = jobs.changed(known, now);
+    withdrawn.ifPresent(this::haltAll);
+    roundDue = true;
+  }
+
+  private void haltAll(Job job) {
+    for (Machine machine : fleet.machines()) {
+      for (Placement placement : machine.placements()) {
+        if (placement.job() == job) {
+          fleet.halt(placement, Span.millis(0));
+        }
+      }
+    }
+  }
+
+  /** Orders for a worker that reports, or nothing if the report can't be used yet. */
+  Optional<List<Order>> report(Report report, Moment now) {
+    clock = now;
+    if (!recovery.readsReports()) {
+      return Optional.of(List.of());
+    }
+    Optional<Machine> machine = fleet.report(report, true, now);
+    if (machine.isEmpty()) {
+      return Optional.empty();
+    }
+    evacuate(machine.get(), now);
+    return Optional.of(fleet.respond(machine.get(), now));
+  }
+
+  /** Stops what will not end before the cloud takes the machine, so that it can go elsewhere. */
+  private void evacuate(Machine machine, Moment now) {
+    if (machine.reclaimedAt() == null) {
+      return;
+    }
+    double left = machine.reclaimedAt().since(now).asSeconds();
+    for (Placement placement : machine.placements()) {
+      Span expected = runTimes.expected(placement.job().spec());
+      double ran =
+          placement.runningSince() == null ? 0 : now.since(placement.runningSince()).asSeconds();
+      boolean endsInTime = !placement.job().spec().service() && expected.asSeconds() - ran < left;
+      if (!placement.halting() && !endsInTime) {
+        fleet.halt(placement, placement.job().spec().saveTime());
+      }
+    }
+  }
+
+  void peerSettled(NodeId peer, Moment now) {
+    recovery.settled(peer, now);
+  }
+
+  /** Whether starts may be ordered: not while the token is in doubt for long. */
+  void tick(Map<String, MachineType> known, boolean active, Moment now, WallTime wall) {
+    clock = now;
+    types = known;
+    fleet.types(types);
+    recovery.tick(types, now);
+    if (!recovery.readsReports()) {
+      return;
+    }
+    fleet.lapse(now, recovery.lastForeignRenewal());
+    courier.push(now);
+    if (active) {
+      registry.tick(now);
+      results.tick(now);
+      capacity.tick(types, recovery.complete(), now, wall);
+      round(now, wall);
+    }
+    courier.flush(now);
+    jobs.sweep();
+  }
+
+  private void round(Moment now, WallTime wall) {
+    boolean regular = !nextRegular.isAfter(now);
+    if (!regular && !(roundDue && now.past(lastRound, EVENT_ROUND_SPACING))) {
+      return;
+    }
+    if (regular) {
+      nextRegular = now.plus(policy.round());
+    }
+    roundDue = false;
+    lastRound = now;
+    int placed = placer.round(recovery.complete(), regular, now, wall);
+    if (placed > 0 && !placedOnce) {
+      placedOnce = true;
+      LOG.info("first placement {} after the rise, token {}", now.since(rose), token);
+    }
+  }
+
+  /** How far the open jobs are. */
+  Map<JobId, PeerMessage.Counts> counts() {
+    Map<JobId, PeerMessage.Counts> counts = new HashMap<>();
+    for (Job job : jobs.all()) {
+      if (job.open() && (job.doneCount() > 0 || job.runningCount() > 0)) {
+        counts.put(job.id(), new PeerMessage.Counts(job.doneCount(), job.runningCount()));
+      }
+    }
+    return counts;
+  }
+
+  /** One line on the state of things, for the log. */
+  String summary() {
+    int pending = 0;
+    int active = 0;
+    for (Job job : jobs.all()) {
+      if (job.open()) {
+        pending += job.pendingCount();
+        active += job.activeCount();
+      }
+    }
+    Map<Machine.State, Integer> states = new EnumMap<>(Machine.State.class);
+    int spot = 0;
+    for (Machine machine : fleet.machines()) {
+      states.merge(machine.state(), 1, Integer::sum);
+      spot += machine.spot() ? 1 : 0;
+    }
+    return "token "
+        + token
+        + " jobs "
+        + jobs.all().size()
+        + " pending "
+        + pending
+        + " active "
+        + active
+        + " machines "
+        + states
+        + " spot "
+        + spot;
+  }
+
+  @Override
+  public void completed(Job job, Machine machine, Span ran) {
+    if (ran != null) {
+      runTimes.learn(job, ran);
+    }
+  }
+
+  @Override
+  public void roomChanged() {
+    roundDue = true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Report.java
@@ -0,0 +1,51 @@
+package org.oakwalk.core;
+
+import java.util.List;
+import java.util.Optional;
+
+/** What a worker says of itself. */
+public record Report(
+    MachineId machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    SessionId session,
+    long sequence,
+    Token token,
+    Optional<Span> notice,
+    List<Piece> pieces) {
+
+  /** State of a task on a machine. */
+  public enum PieceState {
+    FETCHING,
+    GATHERING,
+    RUNNING,
+    FLUSHING,
+    ENDED
+  }
+
+  /** Why a task ended. */
+  public enum Cause {
+    DONE,
+    HALTED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN,
+    OTHER
+  }
+
+  /** One task on the machine; the cause is null unless it has ended. */
+  public record Piece(TaskId task, Attempt attempt, PieceState state, Cause cause) {
+    public boolean ended() {
+      return state == PieceState.ENDED;
+    }
+  }
+
+  /** Whether this report was made after one with the given session and sequence. */
+  public boolean newerThan(SessionId otherSession, long otherSequence) {
+    int bySession = session.compareTo(otherSession);
+    return bySession > 0 || (bySession == 0 && sequence > otherSequence);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -0,0 +1,34 @@
+package org.oakwalk.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the platform says of the deployment, as far as the core needs it. */
+public record Settings(
+    NodeId node,
+    String zone,
+    List<NodeId> peers,
+    List<String> zones,
+    Map<String, Team> teams,
+    List<Objective> objectives,
+    Workers workers,
+    StateLimits state,
+    CloudLimits cloud) {
+
+  /** A team's guarantee and limit; zero means none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  /** What is expected of a class of jobs. */
+  public record Objective(
+      String kind, String jobClass, double withinSeconds, double share, double times) {}
+
+  /** The workers' timing. */
+  public record Workers(Span report, Span lease, Span cancel) {}
+
+  /** Limits of the state service. */
+  public record StateLimits(
+      double requestsPerSecond, double writesPerSecond, double valueKb, int changesPerCommit) {}
+
+  /** Limits of the cloud. */
+  public record CloudLimits(double requestsPerSecond, Span listLag) {}
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/Span.java
@@ -0,0 +1,51 @@
+package org.oakwalk.core;
+
+/** A length of time in milliseconds. */
+public record Span(long millis) implements Comparable<Span> {
+  /** Relative drift that two steady clocks may show against each other. */
+  private static final double DRIFT = 0.0005;
+
+  public static Span seconds(double seconds) {
+    return new Span(Math.round(seconds * 1000));
+  }
+
+  public static Span millis(long millis) {
+    return new Span(millis);
+  }
+
+  public double asSeconds() {
+    return millis / 1000.0;
+  }
+
+  public Span plus(Span other) {
+    return new Span(millis + other.millis);
+  }
+
+  public Span minus(Span other) {
+    return new Span(millis - other.millis);
+  }
+
+  public Span times(double factor) {
+    return new Span(Math.round(millis * factor));
+  }
+
+  /** How long to wait here to be sure that this span has passed on another machine's clock. */
+  public Span surelyPassed() {
+    return new Span((long) Math.ceil(millis * (1 + 2 * DRIFT)));
+  }
+
+  /** How long one may wait here and be sure that this span has not passed elsewhere. */
+  public Span surelyNotPassed() {
+    return new Span((long) Math.floor(millis * (1 - 2 * DRIFT)));
+  }
+
+  @Override
+  public int compareTo(Span other) {
+    return Long.compare(millis, other.millis);
+  }
+
+  @Override
+  public String toString() {
+    return asSeconds() + "s";
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/WallTime.java
@@ -0,0 +1,8 @@
+package org.oakwalk.core;
+
+/** A reading of the time of day, in milliseconds since the epoch. Never used for safety. */
+public record WallTime(long millis) {
+  public Span since(WallTime earlier) {
+    return new Span(millis - earlier.millis);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -0,0 +1,416 @@
+package org.oakwalk.core.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.AskId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Policy;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.fleet.Fleet;
+import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.fleet.Rental;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.placement.RunTimes;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Decides what to rent and what to return, and talks to the cloud about it. */
+public final class Capacity {
+  private static final Logger LOG = LoggerFactory.getLogger(Capacity.class);
+  private static final Span PLAN_EVERY = Span.seconds(1);
+  private static final Span RETRY = Span.seconds(1);
+  private static final Span REFUSED_PAUSE = Span.seconds(8);
+  private static final Span PAID_AT_LEAST = Span.seconds(60);
+  private static final int MOST_PER_ASK = 20;
+  private static final int MOST_RELEASED = 100;
+  private static final double PEAK_HALVES_IN_SECONDS = 120;
+
+  /** Where and how machines of one sort are rented. */
+  private record Market(String type, String zone, boolean spot) {}
+
+  private final Outbox outbox;
+  private final Fleet fleet;
+  private final JobBook jobs;
+  private final Registry registry;
+  private final Policy.Capacity policy;
+  private final Settings.CloudLimits limits;
+  private final Span suspectAfter;
+  private final Demand demand;
+  private final Map<Market, Moment> refusedUntil = new HashMap<>();
+  private final Set<Market> asking = new HashSet<>();
+  private final Map<MachineId, Moment> firstListed = new HashMap<>();
+  private final Set<MachineId> returned = new HashSet<>();
+  private final Set<Machine> releasing = new HashSet<>();
+  private Map<String, MachineType> types = Map.of();
+  private Moment nextPlan = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextList = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextRelease = new Moment(Long.MIN_VALUE / 2);
+  private Moment clock = new Moment(0);
+  private boolean listing;
+  private long asks;
+  private final Map<String, Double> peaks = new HashMap<>();
+
+  public Capacity(
+      Outbox outbox,
+      Fleet fleet,
+      JobBook jobs,
+      Registry registry,
+      Policy.Capacity policy,
+      Settings settings,
+      RunTimes runTimes,
+      Span suspectAfter) {
+    this.outbox = outbox;
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.registry = registry;
+    this.policy = policy;
+    this.limits = settings.cloud();
+    this.suspectAfter = suspectAfter;
+    this.demand = new Demand(settings.objectives(), runTimes);
+  }
+
+  /** Follows the fleet; rents only once it is known what there is. */
+  public void tick(Map<String, MachineType> known, boolean recovered, Moment now, WallTime wall) {
+    types = known;
+    clock = now;
+    if (types.isEmpty()) {
+      return;
+    }
+    if (!listing && !nextList.isAfter(now)) {
+      list(Optional.empty(), now);
+    }
+    if (!nextPlan.isAfter(now)) {
+      nextPlan = now.plus(PLAN_EVERY);
+      returnBroken(now);
+      if (recovered) {
+        plan(now, wall);
+      }
+    }
+    if (!nextRelease.isAfter(now)) {
+      release(now);
+    }
+  }
+
+  private void list(Optional<MachineId> after, Moment now) {
+    listing = true;
+    outbox.call(
+        new Request.ListRentals(after),
+        answer -> {
+          listing = false;
+          nextList = now.plus(limits.listLag().times(0.7));
+          if (answer instanceof Answer.Rentals page) {
+            for (Rental rental : page.rentals()) {
+              listed(rental, now);
+            }
+            if (page.more() && !page.rentals().isEmpty()) {
+              list(Optional.of(page.rentals().get(page.rentals().size() - 1).id()), now);
+            }
+          }
+        });
+  }
+
+  /** Takes over a line of the list, which shows the past: only new machines and ends count. */
+  private void listed(Rental rental, Moment now) {
+    Optional<Machine> machine = fleet.find(rental.id());
+    if (machine.isPresent()) {
+      if (rental.status() == Rental.Status.FAILED
+          && machine.get().state() != Machine.State.RETURNING) {
+        LOG.info("machine {} has failed", rental.id());
+        returnMachine(machine.get());
+      }
+      return;
+    }
+    // A machine that was returned a moment ago may still be listed.
+    Moment first = firstListed.computeIfAbsent(rental.id(), id -> now);
+    if (now.past(first, limits.listLag().times(2).plus(Span.seconds(2)))
+        || !returned.contains(rental.id())) {
+      Moment rented = new Moment(now.millis() - rental.held().millis());
+      fleet
+          .add(
+              rental.id(),
+              rental.address(),
+              rental.type(),
+              rental.zone(),
+              rental.spot(),
+              Machine.State.BOOTING,
+              rented)
+          .ifPresent(
+              added -> {
+                LOG.info("machine {} found in the list", added.id());
+                if (rental.status() == Rental.Status.FAILED) {
+                  returnMachine(added);
+                }
+              });
+    }
+  }
+
+  /** Returns what doesn't work: silent machines, boots that never end, machines that fail tasks. */
+  private void returnBroken(Moment now) {
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    for (Machine machine : List.copyOf(fleet.machines())) {
+      switch (machine.state()) {
+        case BOOTING -> {
+          Span patience = machine.type().boot().times(4);
+          if (now.past(
+              machine.known(),
+              patience.compareTo(policy.bootPatience()) < 0 ? patience : policy.bootPatience())) {
+            LOG.info("machine {} never came up", machine.id());
+            returnMachine(machine);
+          }
+        }
+        case UP -> {
+          up++;
+          if (now.past(machine.heard(), suspectAfter)) {
+            silent.add(machine);
+          } else if (machine.errors() >= 4) {
+            machine.drain(true);
+          }
+          if (machine.draining() && machine.idle()) {
+            returnMachine(machine);
+          }
+        }
+        case LAPSED -> {
+          if (now.past(machine.heard(), suspectAfter.plus(suspectAfter).plus(RETRY))) {
+            returnMachine(machine);
+          }
+        }
+        case UNCONFIRMED, ENROLLING, RETURNING, GONE -> {}
+      }
+    }
+    // Many silent machines at once are out of reach rather than broken: they are left alone.
+    if (silent.size() <= Math.max(2, up / 6)) {
+      for (Machine machine : silent) {
+        if (now.past(machine.heard(), policy.suspectAfter())) {
+          LOG.info("machine {} is silent, {} tasks", machine.id(), machine.placements().size());
+          returnMachine(machine);
+        }
+      }
+    }
+  }
+
+  private void returnMachine(Machine machine) {
+    fleet.returning(machine);
+    releasing.add(machine);
+  }
+
+  private void release(Moment now) {
+    List<Machine> batch = new ArrayList<>();
+    for (Machine machine : releasing) {
+      if (batch.size() < MOST_RELEASED) {
+        batch.add(machine);
+      }
+    }
+    if (batch.isEmpty()) {
+      return;
+    }
+    nextRelease = now.plus(Span.seconds(10));
+    outbox.call(
+        new Request.Release(batch.stream().map(Machine::id).toList()),
+        answer -> {
+          nextRelease = now.plus(answer instanceof Answer.Ok ? Span.millis(0) : RETRY);
+          if (answer instanceof Answer.Ok) {
+            for (Machine machine : batch) {
+              releasing.remove(machine);
+              returned.add(machine.id());
+              fleet.gone(machine, now);
+              registry.gone(machine.id());
+            }
+          }
+        });
+  }
+
+  private record Need(double total, double ordinary) {}
+
+  private void plan(Moment now, WallTime wall) {
+    Map<String, Need> needs = new HashMap<>();
+    for (Job job : jobs.all()) {
+      if (job.open()) {
+        MachineType type = cheapest(job);
+        if (type != null) {
+          double machines = Demand.machines(job.spec().room(), demand.slots(job, type, wall), type);
+          boolean spot = job.spec().spotAllowed();
+          needs.merge(
+              type.name(),
+              new Need(machines, spot ? 0 : machines),
+              (a, b) -> new Need(a.total() + b.total(), a.ordinary() + b.ordinary()));
+        }
+      }
+    }
+    double fade = Math.pow(0.5, PLAN_EVERY.asSeconds() / PEAK_HALVES_IN_SECONDS);
+    for (MachineType type : types.values()) {
+      Need need = needs.getOrDefault(type.name(), new Need(0, 0));
+      double peak = Math.max(need.total(), peaks.getOrDefault(type.name(), 0.0) * fade);
+      peaks.put(type.name(), peak);
+      if (peak > 0) {
+        adjust(type, need, peak, now);
+      }
+    }
+  }
+
+  /** The type that costs least for one task of the job. */
+  private MachineType cheapest(Job job) {
+    MachineType best = null;
+    double least = Double.MAX_VALUE;
+    for (MachineType type : types.values()) {
+      boolean allowed =
+          type.zones().stream().anyMatch(zone -> job.spec().allows(type.name(), zone, false));
+      int each = type.room().count(job.spec().room());
+      if (allowed && each > 0 && type.price() / each < least) {
+        least = type.price() / each;
+        best = type;
+      }
+    }
+    return best;
+  }
+
+  private void adjust(MachineType type, Need need, double peak, Moment now) {
+    int ordinary = 0;
+    int spot = 0;
+    List<Machine> idle = new ArrayList<>();
+    for (Machine machine : fleet.machines()) {
+      if (!machine.type().name().equals(type.name()) || !counts(machine, now)) {
+        continue;
+      }
+      if (machine.spot()) {
+        spot++;
+      } else {
+        ordinary++;
+      }
+      if (machine.state() == Machine.State.UP
+          && machine.idle()
+          && now.past(machine.idleSince(), policy.idle())
+          && now.past(machine.known(), PAID_AT_LEAST)) {
+        idle.add(machine);
+      }
+    }
+    int wanted = (int) Math.ceil(peak * (1 + policy.headroom())) + policy.spareMachines();
+    int wantedOrdinary = (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
+    int missing = wanted - ordinary - spot;
+    if (missing > 0) {
+      int flexible = Math.max(0, wanted - wantedOrdinary);
+      int wantedSpot = (int) Math.floor(flexible * policy.spotShare());
+      int askSpot = Math.min(missing, Math.max(0, wantedSpot - spot));
+      int left = askSpot > 0 ? missing - rent(type, true, askSpot, now) : missing;
+      if (left > 0) {
+        left -= rent(type, false, left, now);
+      }
+      if (left > 0 && flexible > spot) {
+        rent(type, true, left, now);
+      }
+    } else if (missing < 0) {
+      idle.sort(Comparator.comparing(machine -> -type.price(machine.spot())));
+      int surplus = -missing;
+      for (Machine machine : idle) {
+        if (surplus <= 0) {
+          break;
+        }
+        if (!machine.spot() && ordinary <= wantedOrdinary) {
+          continue;
+        }
+        ordinary -= machine.spot() ? 0 : 1;
+        surplus--;
+        LOG.info("machine {} is idle and returned", machine.id());
+        returnMachine(machine);
+      }
+    }
+  }
+
+  private boolean counts(Machine machine, Moment now) {
+    return switch (machine.state()) {
+      case BOOTING -> !now.past(machine.known(), machine.type().boot().times(2));
+      case ENROLLING, UNCONFIRMED -> true;
+      case UP -> !machine.draining() && !now.past(machine.heard(), suspectAfter);
+      case LAPSED, RETURNING, GONE -> false;
+    };
+  }
+
+  /** Asks for machines in the zones that have fewest; returns for how many it asked. */
+  private int rent(MachineType type, boolean spot, int count, Moment now) {
+    Map<String, Integer> held = new HashMap<>();
+    for (Machine machine : fleet.machines()) {
+      if (machine.type().name().equals(type.name()) && machine.spot() == spot) {
+        held.merge(machine.zone(), 1, Integer::sum);
+      }
+    }
+    List<String> zones = new ArrayList<>(type.zones());
+    zones.removeIf(zone -> !free(new Market(type.name(), zone, spot), now));
+    zones.sort(
+        Comparator.comparingInt((String zone) -> held.getOrDefault(zone, 0))
+            .thenComparing(Comparator.naturalOrder()));
+    int asked = 0;
+    for (int i = 0; i < zones.size() && asked < count; i++) {
+      int share = (int) Math.ceil((count - asked) / (double) (zones.size() - i));
+      int number = Math.min(share, MOST_PER_ASK);
+      asked += number;
+      ask(new Market(type.name(), zones.get(i), spot), AskId.of(fleet.token(), ++asks), number, 5);
+    }
+    for (Market market : asking) {
+      if (market.type().equals(type.name()) && market.spot() == spot && asked == 0) {
+        // An answer is still out; it may bring what is missing.
+        return count;
+      }
+    }
+    return asked;
+  }
+
+  private boolean free(Market market, Moment now) {
+    Moment until = refusedUntil.get(market);
+    return !asking.contains(market) && (until == null || !until.isAfter(now));
+  }
+
+  /** Rents under a name of its own, which is repeated until the cloud has answered. */
+  private void ask(Market market, AskId name, int count, int tries) {
+    asking.add(market);
+    outbox.call(
+        new Request.Rent(name, market.type(), market.zone(), market.spot(), count),
+        answer -> {
+          if (answer instanceof Answer.Rented rented) {
+            asking.remove(market);
+            LOG.info(
+                "{} rented {} of {} in {} spot {}",
+                name,
+                rented.machines().size(),
+                count,
+                market.zone(),
+                market.spot());
+            for (MachineId id : rented.machines()) {
+              if (fleet.find(id).isEmpty()) {
+                fleet.add(
+                    id,
+                    "",
+                    market.type(),
+                    market.zone(),
+                    market.spot(),
+                    Machine.State.BOOTING,
+                    clock);
+              }
+            }
+            if (rented.machines().size() < count) {
+              refusedUntil.put(market, clock.plus(REFUSED_PAUSE));
+            }
+          } else if (answer instanceof Answer.Nothing && tries > 1) {
+            ask(market, name, count, tries - 1);
+          } else {
+            // No capacity, or no answer for long; machines that came of it show up in the list.
+            asking.remove(market);
+            refusedUntil.put(market, clock.plus(REFUSED_PAUSE));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -0,0 +1,58 @@
+package org.oakwalk.core.capacity;
+
+import java.util.List;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.placement.RunTimes;
+
+/** How much room the open jobs need to be in time. */
+final class Demand {
+  private static final Span DEFAULT_TARGET = Span.seconds(120);
+
+  private final List<Settings.Objective> objectives;
+  private final RunTimes runTimes;
+
+  Demand(List<Settings.Objective> objectives, RunTimes runTimes) {
+    this.objectives = objectives;
+    this.runTimes = runTimes;
+  }
+
+  /**
+   * Tasks of a job that should be on machines at once. All replicas of a service; of an array so
+   * many that what is left ends in time, if each place is used again and again.
+   */
+  double slots(Job job, MachineType type, WallTime now) {
+    JobSpec spec = job.spec();
+    int open = job.spec().tasks() - job.doneCount();
+    if (spec.service() || spec.gang()) {
+      return open;
+    }
+    double run = Math.max(1, runTimes.expected(spec).asSeconds());
+    double left = target(spec).minus(now.since(job.accepted())).asSeconds() * 0.8;
+    left -= type.fetch(spec.imageGb()).asSeconds();
+    double waves = Math.max(1, Math.floor(left / run));
+    return Math.min(open, Math.max(Math.ceil(open / waves), job.activeCount()));
+  }
+
+  private Span target(JobSpec spec) {
+    Span target = spec.due().orElse(DEFAULT_TARGET);
+    for (Settings.Objective objective : objectives) {
+      if (objective.jobClass().equals(spec.jobClass()) && objective.kind().equals("finished")) {
+        Span within = Span.seconds(objective.withinSeconds());
+        target = within.compareTo(target) < 0 ? within : target;
+      }
+    }
+    return target;
+  }
+
+  /** Room for that many tasks, as a number of machines of a type. */
+  static double machines(Room task, double slots, MachineType type) {
+    int each = type.room().count(task);
+    return each <= 0 ? 0 : slots / each;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -0,0 +1,443 @@
+package org.oakwalk.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.StoreView;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines of one reign and what is on them. A placement leaves its machine only when it is
+ * certain that the attempt is not there and cannot start there any more.
+ */
+public final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+  private static final Span LAPSE_MARGIN = Span.millis(500);
+
+  /** Told what becomes of tasks. */
+  public interface Listener {
+    /** A task completed on a machine after running this long; the span is null if unknown. */
+    void completed(Job job, Machine machine, Span ran);
+
+    /** A machine takes tasks from now on, or has room again. */
+    void roomChanged();
+  }
+
+  private final Token token;
+  private final JobBook jobs;
+  private final StoreView view;
+  private final Settings.Workers timing;
+  private final Listener listener;
+  private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
+  private final Map<TaskId, Placement> byTask = new HashMap<>();
+  private final Map<String, Room> teamUse = new HashMap<>();
+  private Map<String, MachineType> types = Map.of();
+  private final Set<Machine> toCommand = new LinkedHashSet<>();
+  private long attempts;
+
+  public Fleet(
+      Token token, JobBook jobs, StoreView view, Settings.Workers timing, Listener listener) {
+    this.token = token;
+    this.jobs = jobs;
+    this.view = view;
+    this.timing = timing;
+    this.listener = listener;
+  }
+
+  public void types(Map<String, MachineType> current) {
+    types = current;
+  }
+
+  public Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  public Optional<Machine> find(MachineId id) {
+    return Optional.ofNullable(machines.get(id));
+  }
+
+  /** What a team's tasks take, placements that may yet start included. */
+  public Room use(String team) {
+    return teamUse.getOrDefault(team, Room.NONE);
+  }
+
+  /** Room of the machines of which it is not known what runs there. */
+  public Room unconfirmedRoom() {
+    Room sum = Room.NONE;
+    for (Machine machine : machines.values()) {
+      if (machine.state() == Machine.State.UNCONFIRMED) {
+        sum = sum.plus(machine.type().room());
+      }
+    }
+    return sum;
+  }
+
+  /** Whether an attempt that an earlier leader ordered may be on a machine unseen. */
+  public boolean anyUnconfirmed() {
+    return machines.values().stream().anyMatch(m -> m.state() == Machine.State.UNCONFIRMED);
+  }
+
+  /** Adds a machine; without its type nothing can be said of its room, and it is left out. */
+  public Optional<Machine> add(
+      MachineId id,
+      String address,
+      String type,
+      String zone,
+      boolean spot,
+      Machine.State state,
+      Moment known) {
+    MachineType kind = types.get(type);
+    if (kind == null) {
+      return Optional.empty();
+    }
+    Machine machine = new Machine(id, address, kind, zone, spot, state, known);
+    machines.put(id, machine);
+    return Optional.of(machine);
+  }
+
+  /** Puts a task on a machine. The order goes out by command or with the next response. */
+  public Placement place(Job job, int index, Machine machine, Moment now) {
+    Placement placement =
+        hold(job, new TaskId(job.id(), index), Attempt.of(token, ++attempts), machine, now);
+    toCommand.add(machine);
+    LOG.debug("task {} try {} placed on {}", placement.task(), placement.attempt(), machine.id());
+    return placement;
+  }
+
+  private Placement hold(Job job, TaskId task, Attempt attempt, Machine machine, Moment now) {
+    job.take(task.index());
+    Placement placement = new Placement(job, task, attempt, machine, now);
+    machine.add(placement);
+    byTask.put(task, placement);
+    teamUse.merge(job.spec().team(), job.spec().room(), Room::plus);
+    return placement;
+  }
+
+  /** Wants a placement stopped. */
+  public void halt(Placement placement, Span grace) {
+    placement.halt(grace);
+    toCommand.add(placement.machine());
+  }
+
+  /** Machines with orders that have not been sent yet; the caller takes them over. */
+  List<Machine> takeCommandable() {
+    List<Machine> taken = new ArrayList<>();
+    for (Machine machine : toCommand) {
+      if (!machine.commanding()) {
+        taken.add(machine);
+      }
+    }
+    taken.forEach(toCommand::remove);
+    return taken;
+  }
+
+  public Token token() {
+    return token;
+  }
+
+  /**
+   * Takes over a report.
+   *
+   * @param own whether the worker sent it by itself, rather than as the answer to a command
+   * @return the machine, unless the report could not be used
+   */
+  public Optional<Machine> report(Report report, boolean own, Moment now) {
+    Machine machine = machines.get(report.machine());
+    if (machine == null) {
+      machine =
+          add(
+                  report.machine(),
+                  report.address(),
+                  report.type(),
+                  report.zone(),
+                  report.spot(),
+                  Machine.State.BOOTING,
+                  now)
+              .orElse(null);
+      if (machine == null) {
+        return Optional.empty();
+      }
+      LOG.info("machine {} reports unexpectedly", machine.id());
+    }
+    if (machine.state() == Machine.State.GONE
+        || machine.stale(report.session(), report.sequence())) {
+      return Optional.of(machine);
+    }
+    boolean freshSession = machine.advance(report.session(), report.sequence());
+    machine.address(report.address());
+    machine.heard(now);
+    if (own) {
+      machine.responseSettled();
+    }
+    if (freshSession) {
+      LOG.info("machine {} begins session {}", machine.id(), report.session());
+      loseAll(machine, now);
+    }
+    report.notice().ifPresent(left -> notice(report, left, now));
+    reconcile(machine, report, now);
+    switch (machine.state()) {
+      case BOOTING -> machine.enter(Machine.State.ENROLLING);
+      case LAPSED -> up(machine);
+      case UNCONFIRMED -> {
+        if (report.token().equals(token)) {
+          up(machine);
+        }
+      }
+      case ENROLLING, UP, RETURNING, GONE -> {}
+    }
+    return Optional.of(machine);
+  }
+
+  private void notice(Report report, Span left, Moment now) {
+    Machine machine = machines.get(report.machine());
+    Moment at = now.plus(left);
+    if (machine.reclaimedAt() == null) {
+      LOG.info("machine {} is taken back in {}", machine.id(), left);
+    }
+    machine.reclaimedAt(at);
+  }
+
+  /** The machine may take tasks from now on. */
+  public void up(Machine machine) {
+    machine.enter(Machine.State.UP);
+    LOG.info("machine {} is up, zone {} spot {}", machine.id(), machine.zone(), machine.spot());
+    listener.roomChanged();
+  }
+
+  private void reconcile(Machine machine, Report report, Moment now) {
+    machine.clearPieces();
+    List<Placement> missing = machine.placementsCopy();
+    for (Report.Piece piece : report.pieces()) {
+      Placement placement = machine.placement(piece.task());
+      if (placement != null && placement.attempt().equals(piece.attempt())) {
+        missing.remove(placement);
+        observe(placement, piece, now);
+      } else {
+        foreign(machine, piece, now);
+      }
+    }
+    for (Placement placement : missing) {
+      boolean seen = placement.state() != Placement.State.ORDERED;
+      boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
+      if (seen || (placement.halting() && !open)) {
+        LOG.debug("task {} try {} is gone", placement.task(), placement.attempt());
+        lose(placement, now);
+      }
+    }
+  }
+
+  private void observe(Placement placement, Report.Piece piece, Moment now) {
+    switch (piece.state()) {
+      case FETCHING -> {
+        if (placement.state() == Placement.State.ORDERED) {
+          placement.enter(Placement.State.FETCHING, now);
+        }
+      }
+      case GATHERING, RUNNING -> {
+        if (placement.state() != Placement.State.SAVING) {
+          placement.enter(Placement.State.RUNNING, now);
+        }
+      }
+      case FLUSHING -> placement.enter(Placement.State.SAVING, now);
+      case ENDED -> {
+        placement
+            .machine()
+            .uncleared(
+                new Machine.Try(placement.task(), placement.attempt()),
+                piece.cause() == Report.Cause.DONE);
+        over(placement, piece.cause(), now);
+      }
+    }
+  }
+
+  private void over(Placement placement, Report.Cause cause, Moment now) {
+    Job job = placement.job();
+    Machine machine = placement.machine();
+    int index = placement.task().index();
+    LOG.debug("task {} try {} ended: {}", placement.task(), placement.attempt(), cause);
+    switch (cause) {
+      case DONE -> {
+        job.complete(index, now);
+        machine.succeeded();
+        Moment since = placement.runningSince();
+        listener.completed(job, machine, since == null ? null : now.since(since));
+      }
+      case ERROR -> {
+        LOG.info("task {} failed on {}", placement.task(), machine.id());
+        machine.failed();
+        job.pause(index, true, now);
+      }
+      case NO_ROOM -> {
+        machine.blockedUntil(now.plus(Span.seconds(2)));
+        job.pause(index, false, now);
+      }
+      case BUSY, UNKNOWN -> job.pause(index, false, now);
+      case HALTED, OTHER -> {}
+    }
+    lose(placement, now);
+  }
+
+  /** A piece that no placement stands for: left by an earlier leader, or ended before. */
+  private void foreign(Machine machine, Report.Piece piece, Moment now) {
+    Machine.Try attempt = new Machine.Try(piece.task(), piece.attempt());
+    int index = piece.task().index();
+    Optional<Job> found = jobs.findOrLoad(piece.task().job(), now);
+    if (found.isEmpty() || index >= found.get().spec().tasks()) {
+      if (piece.ended()) {
+        machine.uncleared(attempt, piece.cause() == Report.Cause.DONE);
+      } else {
+        machine.stray(attempt, Room.NONE);
+      }
+      return;
+    }
+    Job job = found.get();
+    if (piece.ended()) {
+      boolean done = piece.cause() == Report.Cause.DONE;
+      machine.uncleared(attempt, done);
+      if (done && !job.isDone(index)) {
+        completeElsewhere(job, piece.task(), now);
+      }
+      return;
+    }
+    if (!job.isFree(index)) {
+      LOG.info("task {} try {} is on {} astray", piece.task(), piece.attempt(), machine.id());
+      machine.stray(attempt, job.spec().room());
+      return;
+    }
+    Placement adopted = hold(job, piece.task(), piece.attempt(), machine, now);
+    observe(adopted, piece, now);
+    if (!job.open()) {
+      halt(adopted, Span.millis(0));
+    }
+  }
+
+  private void completeElsewhere(Job job, TaskId task, Moment now) {
+    job.complete(task.index(), now);
+    Placement other = byTask.get(task);
+    if (other != null) {
+      halt(other, Span.millis(0));
+    }
+  }
+
+  /** The attempt is surely not on its machine any more. */
+  private void lose(Placement placement, Moment now) {
+    placement.enter(Placement.State.OVER, now);
+    placement.machine().remove(placement, now);
+    byTask.remove(placement.task(), placement);
+    placement.job().release(placement.task().index(), now);
+    Room room = placement.job().spec().room();
+    teamUse.computeIfPresent(placement.job().spec().team(), (team, use) -> use.minus(room));
+    listener.roomChanged();
+  }
+
+  private void loseAll(Machine machine, Moment now) {
+    for (Placement placement : machine.placementsCopy()) {
+      LOG.debug("task {} lost with {}", placement.task(), machine.id());
+      lose(placement, now);
+    }
+    machine.clearPieces();
+  }
+
+  /** Orders for a machine that has just reported by itself. */
+  public List<Order> respond(Machine machine, Moment now) {
+    machine.renewed(now);
+    List<Order> orders = new ArrayList<>(clears(machine));
+    for (Placement placement : machine.placements()) {
+      if (placement.halting()) {
+        orders.add(haltOrder(placement));
+      } else if (placement.state() == Placement.State.ORDERED
+          && machine.state() == Machine.State.UP) {
+        orders.add(new Order.Run(placement.task(), placement.attempt()));
+        machine.sentInResponse(new Machine.Try(placement.task(), placement.attempt()));
+      }
+    }
+    for (Machine.Try stray : machine.strays()) {
+      orders.add(new Order.Halt(stray.task(), stray.attempt(), Span.millis(0)));
+    }
+    return orders;
+  }
+
+  static Order haltOrder(Placement placement) {
+    return new Order.Halt(placement.task(), placement.attempt(), placement.haltGrace());
+  }
+
+  /**
+   * Ended attempts that the worker may forget: their result is stored or needless, and no run of
+   * them can arrive any more, which would start them again.
+   */
+  private List<Order> clears(Machine machine) {
+    List<Order> orders = new ArrayList<>();
+    machine
+        .uncleared()
+        .forEach(
+            (attempt, done) -> {
+              if ((!done || settled(attempt.task())) && !machine.runOpen(attempt)) {
+                orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
+              }
+            });
+    return orders;
+  }
+
+  private boolean settled(TaskId task) {
+    Optional<Job> job = jobs.find(task.job());
+    if (job.isPresent() && job.get().open()) {
+      return job.get().isStoredDone(task.index());
+    }
+    return view.job(task.job()).map(known -> known.phase() != JobRecord.Phase.OPEN).orElse(true);
+  }
+
+  /** Declares lapsed what has surely lost its lease. */
+  public void lapse(Moment now, Moment lastForeignRenewal) {
+    Span lease = timing.lease().surelyPassed().plus(LAPSE_MARGIN);
+    for (Machine machine : machines.values()) {
+      Moment renewed = machine.renewed();
+      boolean unconfirmed = machine.state() == Machine.State.UNCONFIRMED;
+      if (unconfirmed && lastForeignRenewal.isAfter(renewed)) {
+        renewed = lastForeignRenewal;
+      }
+      if ((unconfirmed || machine.state() == Machine.State.UP) && now.past(renewed, lease)) {
+        LOG.info("machine {} has lapsed with {} tasks", machine.id(), machine.placements().size());
+        machine.enter(Machine.State.LAPSED);
+        machine.endSession();
+        loseAll(machine, now);
+      }
+    }
+  }
+
+  /** The machine is to be returned; what is on it counts until the cloud has confirmed. */
+  public void returning(Machine machine) {
+    machine.enter(Machine.State.RETURNING);
+  }
+
+  /** The cloud has confirmed that the machine is gone. */
+  public void gone(Machine machine, Moment now) {
+    machine.enter(Machine.State.GONE);
+    loseAll(machine, now);
+    machines.remove(machine.id());
+    LOG.info("machine {} returned", machine.id());
+  }
+
+  public Span reportEvery() {
+    return timing.report();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -0,0 +1,371 @@
+package org.oakwalk.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.job.Room;
+
+/** A machine as one leader knows it. */
+public final class Machine {
+  /** Life of a machine under one leader. */
+  public enum State {
+    /** Rented; its worker has not reported. */
+    BOOTING,
+    /** It reports, and is being written to the registry. */
+    ENROLLING,
+    /** From the registry of earlier leaders; it has not yet confirmed this leader's token. */
+    UNCONFIRMED,
+    /** Takes tasks. */
+    UP,
+    /** Its lease has surely run out: nothing that was ordered before is on it. */
+    LAPSED,
+    /** It is being returned. */
+    RETURNING,
+    /** It is gone. */
+    GONE
+  }
+
+  private static final Map<State, Set<State>> LEGAL = new EnumMap<>(State.class);
+
+  static {
+    LEGAL.put(State.BOOTING, EnumSet.of(State.ENROLLING, State.RETURNING));
+    LEGAL.put(State.ENROLLING, EnumSet.of(State.UP, State.RETURNING));
+    LEGAL.put(State.UNCONFIRMED, EnumSet.of(State.UP, State.LAPSED, State.RETURNING));
+    LEGAL.put(State.UP, EnumSet.of(State.LAPSED, State.RETURNING));
+    LEGAL.put(State.LAPSED, EnumSet.of(State.UP, State.RETURNING));
+    LEGAL.put(State.RETURNING, EnumSet.of(State.GONE));
+    LEGAL.put(State.GONE, EnumSet.noneOf(State.class));
+  }
+
+  /** One attempt at one task, as orders name it. */
+  public record Try(TaskId task, Attempt attempt) {}
+
+  private final MachineId id;
+  private final MachineType type;
+  private final String zone;
+  private final boolean spot;
+  private final Moment known;
+  private String address;
+  private State state;
+  private Optional<SessionId> session = Optional.empty();
+  private long sequence;
+  private SessionId oldestSession = SessionId.FIRST;
+  private Moment renewed;
+  private Moment heard;
+  private Moment reclaimedAt;
+  private Moment idleSince;
+  private Moment blockedUntil;
+  private Rental.Status listed;
+  private boolean draining;
+  private int errors;
+  private Room used = Room.NONE;
+  private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+  private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<Try, Boolean> uncleared = new LinkedHashMap<>();
+  private final List<Try> strays = new ArrayList<>();
+  private Room strayRoom = Room.NONE;
+  private boolean commanding;
+  private final Set<Try> inResponse = new HashSet<>();
+  private final Map<Try, Integer> inCommand = new HashMap<>();
+
+  Machine(
+      MachineId id,
+      String address,
+      MachineType type,
+      String zone,
+      boolean spot,
+      State state,
+      Moment known) {
+    this.id = id;
+    this.address = address;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.state = state;
+    this.known = known;
+    this.heard = known;
+    this.renewed = known;
+    this.idleSince = known;
+    this.blockedUntil = known;
+  }
+
+  public MachineId id() {
+    return id;
+  }
+
+  public String address() {
+    return address;
+  }
+
+  public MachineType type() {
+    return type;
+  }
+
+  public String zone() {
+    return zone;
+  }
+
+  public boolean spot() {
+    return spot;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** Since when this leader has known the machine; for a booting one, when it was rented. */
+  public Moment known() {
+    return known;
+  }
+
+  public Optional<SessionId> session() {
+    return session;
+  }
+
+  public Moment heard() {
+    return heard;
+  }
+
+  public Moment renewed() {
+    return renewed;
+  }
+
+  public Moment idleSince() {
+    return idleSince;
+  }
+
+  public int errors() {
+    return errors;
+  }
+
+  public Rental.Status listed() {
+    return listed;
+  }
+
+  /** Whether no new tasks are to be put on it. */
+  public boolean draining() {
+    return draining || reclaimedAt != null;
+  }
+
+  /** When the cloud takes it away, if it gave notice; else null. */
+  public Moment reclaimedAt() {
+    return reclaimedAt;
+  }
+
+  public Room used() {
+    return used;
+  }
+
+  public Room free() {
+    return type.room().minus(used).minus(strayRoom);
+  }
+
+  public Collection<Placement> placements() {
+    return placements.values();
+  }
+
+  public Placement placement(TaskId task) {
+    return placements.get(task);
+  }
+
+  public boolean idle() {
+    return placements.isEmpty();
+  }
+
+  /** Whether tasks may be put on it now. */
+  public boolean takesTasks(Moment now, Span suspectAfter) {
+    return state == State.UP
+        && !draining()
+        && session.isPresent()
+        && !now.past(heard, suspectAfter)
+        && !blockedUntil.isAfter(now);
+  }
+
+  /** Whether, as far as is known, it has the image. */
+  public boolean hasImage(String image) {
+    return images.containsKey(image);
+  }
+
+  void listed(Rental.Status status) {
+    listed = status;
+  }
+
+  public void drain(boolean on) {
+    draining = on;
+  }
+
+  void address(String current) {
+    address = current;
+  }
+
+  void heard(Moment now) {
+    heard = now;
+  }
+
+  void renewed(Moment now) {
+    renewed = now;
+  }
+
+  void reclaimedAt(Moment at) {
+    reclaimedAt = at;
+  }
+
+  void blockedUntil(Moment until) {
+    blockedUntil = until;
+  }
+
+  void failed() {
+    errors++;
+  }
+
+  void succeeded() {
+    errors = Math.max(0, errors - 1);
+  }
+
+  /** Whether a report is older than what is known, or from a session that is surely over. */
+  boolean stale(SessionId reported, long number) {
+    if (reported.compareTo(oldestSession) < 0) {
+      return true;
+    }
+    return session.isPresent()
+        && (reported.compareTo(session.get()) < 0
+            || reported.equals(session.get()) && number <= sequence);
+  }
+
+  /** Takes over a report's session and number; true if a new session has begun. */
+  boolean advance(SessionId reported, long number) {
+    boolean fresh = session.isPresent() && !session.get().equals(reported);
+    if (session.isEmpty() || fresh) {
+      inCommand.clear();
+      inResponse.clear();
+    }
+    session = Optional.of(reported);
+    sequence = number;
+    return fresh;
+  }
+
+  /** The present session is over: reports that still come from it count for nothing. */
+  void endSession() {
+    session.ifPresent(s -> oldestSession = s.next());
+    session = Optional.empty();
+    inCommand.clear();
+    inResponse.clear();
+  }
+
+  void add(Placement placement) {
+    placements.put(placement.task(), placement);
+    used = used.plus(placement.job().spec().room());
+    useImage(placement);
+  }
+
+  private void useImage(Placement placement) {
+    images.put(placement.job().spec().image(), placement.job().spec().imageGb());
+    double held = images.values().stream().mapToDouble(Double::doubleValue).sum();
+    var oldest = images.entrySet().iterator();
+    while (held > type.cacheGb() && images.size() > 1) {
+      held -= oldest.next().getValue();
+      oldest.remove();
+    }
+  }
+
+  void remove(Placement placement, Moment now) {
+    if (placements.remove(placement.task(), placement)) {
+      used = placements.isEmpty() ? Room.NONE : used.minus(placement.job().spec().room());
+      if (placements.isEmpty()) {
+        idleSince = now;
+      }
+    }
+  }
+
+  List<Placement> placementsCopy() {
+    return new ArrayList<>(placements.values());
+  }
+
+  /** Begins to take over the pieces of a new report. */
+  void clearPieces() {
+    uncleared.clear();
+    strays.clear();
+    strayRoom = Room.NONE;
+  }
+
+  /** An ended attempt is still reported; {@code done} tells whether it completed. */
+  void uncleared(Try attempt, boolean done) {
+    uncleared.put(attempt, done);
+  }
+
+  Map<Try, Boolean> uncleared() {
+    return uncleared;
+  }
+
+  /** Whether an ended attempt at this task is still on the machine, so that a run is refused. */
+  public boolean remembers(TaskId task) {
+    return uncleared.keySet().stream().anyMatch(t -> t.task().equals(task));
+  }
+
+  /** A task that should not be here, and takes this room if that is known. */
+  void stray(Try attempt, Room room) {
+    strays.add(attempt);
+    strayRoom = strayRoom.plus(room);
+  }
+
+  List<Try> strays() {
+    return strays;
+  }
+
+  /** Whether a command is out and unanswered. */
+  boolean commanding() {
+    return commanding;
+  }
+
+  void commanding(boolean on) {
+    commanding = on;
+  }
+
+  void sentInResponse(Try attempt) {
+    inResponse.add(attempt);
+  }
+
+  /** A new report came by itself, so the last response was executed or dropped. */
+  void responseSettled() {
+    inResponse.clear();
+  }
+
+  void sentByCommand(Try attempt) {
+    inCommand.merge(attempt, 1, Integer::sum);
+  }
+
+  /** A command was answered. One that never is stays open until the session ends. */
+  void commandSettled(Try attempt) {
+    inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
+  }
+
+  /** Whether a run of this attempt may still be executed later. */
+  boolean runOpen(Try attempt) {
+    return inResponse.contains(attempt) || inCommand.containsKey(attempt);
+  }
+
+  /** The one place where the state changes. */
+  void enter(State next) {
+    if (next == state) {
+      return;
+    }
+    if (!LEGAL.get(state).contains(next)) {
+      throw new IllegalStateException("machine " + id + " from " + state + " to " + next);
+    }
+    state = next;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/fleet/MachineType.java
@@ -0,0 +1,26 @@
+package org.oakwalk.core.fleet;
+
+import java.util.List;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.job.Room;
+
+/** A kind of machine that the cloud rents, with its current prices per hour. */
+public record MachineType(
+    String name,
+    Room room,
+    double cacheGb,
+    double fetchGbPerSecond,
+    double price,
+    double spotPrice,
+    Span boot,
+    List<String> zones) {
+
+  public double price(boolean spot) {
+    return spot ? spotPrice : price;
+  }
+
+  /** How long an image of this size takes to arrive on an idle machine. */
+  public Span fetch(double imageGb) {
+    return fetchGbPerSecond <= 0 ? Span.seconds(0) : Span.seconds(imageGb / fetchGbPerSecond);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/fleet/Rental.java
@@ -0,0 +1,22 @@
+package org.oakwalk.core.fleet;
+
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Span;
+
+/** A machine as the cloud's list shows it. */
+public record Rental(
+    MachineId id,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    Status status,
+    Span held) {
+
+  /** State of a rented machine. */
+  public enum Status {
+    BOOTING,
+    RUNNING,
+    FAILED
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/job/ResultWriter.java
@@ -0,0 +1,159 @@
+package org.oakwalk.core.job;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.DoneBits;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Stores what has been done: the end of jobs at once, parts of jobs in batches. */
+public final class ResultWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(ResultWriter.class);
+  private static final Span FLUSH_EVERY = Span.seconds(2);
+  private static final Span RETRY = Span.millis(300);
+
+  private final Outbox outbox;
+  private final JobBook jobs;
+  private final StoreView view;
+  private final Guard guard;
+  private final Settings.StateLimits limits;
+  private final Set<JobId> chunked = new HashSet<>();
+  private final List<String> obsolete = new ArrayList<>();
+  private boolean flushing;
+  private Moment nextFlush = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextEnd = new Moment(Long.MIN_VALUE / 2);
+
+  public ResultWriter(
+      Outbox outbox, JobBook jobs, StoreView view, Guard guard, Settings.StateLimits limits) {
+    this.outbox = outbox;
+    this.jobs = jobs;
+    this.view = view;
+    this.guard = guard;
+    this.limits = limits;
+  }
+
+  /** A part of the job's results was found in the store. */
+  public void found(JobId id) {
+    chunked.add(id);
+  }
+
+  public void tick(Moment now) {
+    if (!nextEnd.isAfter(now)) {
+      for (Job job : jobs.all()) {
+        if (job.open() && job.allDone()) {
+          finish(job, now);
+        }
+      }
+    }
+    if (!flushing && !nextFlush.isAfter(now)) {
+      flush(now);
+    }
+  }
+
+  private void finish(Job job, Moment now) {
+    job.finishing();
+    JobRecord record = new JobRecord(job.spec(), JobRecord.Phase.DONE, job.accepted());
+    String key = Keys.job(job.id());
+    outbox.call(
+        new Request.Commit(
+            List.of(guard, new Guard(key, job.stamp())),
+            List.of(new Change.Put(key, record, Optional.empty())),
+            Request.Urgency.RESULT),
+        answer -> {
+          if (job.state() != Job.State.FINISHING) {
+            return;
+          }
+          if (answer instanceof Answer.Committed committed) {
+            job.ended(false, committed.epoch());
+            LOG.info("job {} is done", job.id());
+            dropChunks(job);
+            // Users are told only by the store's copy, so let it catch up at once.
+            view.catchUp(now, known -> {});
+          } else {
+            // Withdrawn meanwhile, or unknown: the store's copy tells, else it is tried again.
+            job.notFinished();
+            nextEnd = now.plus(RETRY);
+            view.catchUp(now, known -> {});
+          }
+        });
+  }
+
+  private void dropChunks(Job job) {
+    if (chunked.remove(job.id())) {
+      for (int chunk = 0; chunk * DoneBits.CHUNK < job.spec().tasks(); chunk++) {
+        obsolete.add(Keys.done(job.id(), chunk));
+      }
+    }
+  }
+
+  private record Part(Job job, BitSet snapshot, int from, int to) {}
+
+  private void flush(Moment now) {
+    nextFlush = now.plus(FLUSH_EVERY);
+    int budget =
+        (int) Math.max(1, Math.min(limits.changesPerCommit(), limits.writesPerSecond() * 0.6));
+    List<Change> changes = new ArrayList<>();
+    List<Part> parts = new ArrayList<>();
+    List<Job> dirty = new ArrayList<>();
+    for (Job job : jobs.all()) {
+      if (job.open() && !job.allDone() && job.dirtySince() != null) {
+        dirty.add(job);
+      }
+    }
+    dirty.sort((a, b) -> a.dirtySince().compareTo(b.dirtySince()));
+    for (Job job : dirty) {
+      BitSet snapshot = job.doneSnapshot();
+      for (int from = 0; from < job.spec().tasks() && changes.size() < budget; ) {
+        int to = Math.min(job.spec().tasks(), from + DoneBits.CHUNK);
+        if (job.hasUnstored(from, to)) {
+          parts.add(new Part(job, snapshot, from, to));
+          changes.add(
+              new Change.Put(
+                  Keys.done(job.id(), from / DoneBits.CHUNK),
+                  new StoredValue.DoneChunk(DoneBits.encode(snapshot.get(from, to))),
+                  Optional.empty()));
+        }
+        from = to;
+      }
+    }
+    List<String> removed = new ArrayList<>();
+    while (changes.size() < budget && removed.size() < obsolete.size()) {
+      String key = obsolete.get(removed.size());
+      removed.add(key);
+      changes.add(new Change.Remove(key));
+    }
+    if (changes.isEmpty()) {
+      return;
+    }
+    flushing = true;
+    outbox.call(
+        new Request.Commit(List.of(guard), changes, Request.Urgency.REST),
+        answer -> {
+          flushing = false;
+          if (answer instanceof Answer.Committed) {
+            for (Part part : parts) {
+              part.job().stored(part.snapshot(), part.from(), part.to(), now);
+              chunked.add(part.job().id());
+            }
+            obsolete.removeAll(removed);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -0,0 +1,264 @@
+package org.oakwalk.core.leadership;
+
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.HoldId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads. The leader key is bound to a lease of its writer; the revision of that write is the
+ * token under which all commands go out.
+ */
+public final class Leadership {
+  private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+
+  /** States of a node with respect to leading. */
+  public enum State {
+    /** Another node leads, or nobody does. */
+    FOLLOWING,
+    /** A lease was asked for. */
+    GRANTING,
+    /** The leader key was written, and the copy of the store does not show it yet. */
+    CLAIMING,
+    /** This node leads and renews its lease. */
+    LEADING,
+    /** This node led; the lease may be over, but the workers' leases are kept alive. */
+    COASTING,
+    /** As above, but out of contact for so long that workers must not be answered. */
+    MUTED
+  }
+
+  private static final Map<State, Set<State>> LEGAL = new EnumMap<>(State.class);
+
+  static {
+    LEGAL.put(State.FOLLOWING, EnumSet.of(State.GRANTING));
+    LEGAL.put(State.GRANTING, EnumSet.of(State.FOLLOWING, State.CLAIMING));
+    LEGAL.put(State.CLAIMING, EnumSet.of(State.FOLLOWING, State.LEADING));
+    LEGAL.put(State.LEADING, EnumSet.of(State.FOLLOWING, State.COASTING));
+    LEGAL.put(State.COASTING, EnumSet.of(State.FOLLOWING, State.LEADING, State.MUTED));
+    LEGAL.put(State.MUTED, EnumSet.of(State.FOLLOWING, State.LEADING));
+  }
+
+  /** Told when this node begins and ends to lead. */
+  public interface Listener {
+    void rises(Token token, Moment now);
+
+    void falls(Token token, Moment now);
+  }
+
+  private static final Span TTL = Span.millis(2500);
+  private static final Span RENEW = Span.millis(700);
+  private static final Span RETRY = Span.millis(200);
+
+  private final Outbox outbox;
+  private final StoreView view;
+  private final NodeId node;
+  private final String incarnation;
+  private final Span coastLimit;
+  private final Listener listener;
+  private State state = State.FOLLOWING;
+  private Token token;
+  private HoldId hold;
+  private Moment leaseFrom;
+  private Moment nextStep = new Moment(Long.MIN_VALUE / 2);
+  private boolean calling;
+
+  public Leadership(
+      Outbox outbox,
+      StoreView view,
+      NodeId node,
+      String incarnation,
+      Span coastLimit,
+      Listener listener) {
+    this.outbox = outbox;
+    this.view = view;
+    this.node = node;
+    this.incarnation = incarnation;
+    this.coastLimit = coastLimit;
+    this.listener = listener;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** Whether workers may be answered under this node's token. */
+  public boolean mayAnswer(Moment now) {
+    return (state == State.LEADING || state == State.COASTING)
+        && !now.past(view.contact(), coastLimit.surelyNotPassed());
+  }
+
+  /** Whether this node holds a token that has not been seen to fall. */
+  public boolean reigning() {
+    return state == State.LEADING || state == State.COASTING || state == State.MUTED;
+  }
+
+  public void tick(Moment now) {
+    if (state == State.LEADING && now.past(leaseFrom, TTL.surelyNotPassed())) {
+      enter(State.COASTING);
+    }
+    if (state == State.COASTING && now.past(view.contact(), coastLimit.surelyNotPassed())) {
+      enter(State.MUTED);
+    }
+    if (calling || nextStep.isAfter(now)) {
+      return;
+    }
+    switch (state) {
+      case FOLLOWING -> {
+        if (view.leader().isEmpty() && view.fresh(now)) {
+          campaign(now);
+        }
+      }
+      case GRANTING -> {}
+      case CLAIMING -> settleClaim(now);
+      case LEADING, COASTING, MUTED -> renew(now);
+    }
+  }
+
+  /** The copy of the store shows another leader key, or none. */
+  public void leaderChanged(Moment now) {
+    Optional<StoreView.Leader> leader = view.leader();
+    boolean mine = leader.isPresent() && leader.get().record().incarnation().equals(incarnation);
+    if (state == State.CLAIMING) {
+      if (mine) {
+        token = leader.get().token();
+        enter(State.LEADING);
+        listener.rises(token, now);
+      } else if (leader.isPresent()) {
+        giveUp();
+      }
+    } else if (reigning() && !(mine && leader.get().token().equals(token))) {
+      fall(now);
+    }
+  }
+
+  /** Somebody showed a token above this node's own: another node leads. */
+  public void higherTokenSeen(Token seen, Moment now) {
+    if (reigning() && seen.compareTo(token) > 0) {
+      LOG.info("token {} is above own token {}", seen, token);
+      fall(now);
+    }
+  }
+
+  private void fall(Moment now) {
+    Token fallen = token;
+    token = null;
+    giveUp();
+    listener.falls(fallen, now);
+  }
+
+  /** Back to following; a lease that is still held is dropped so that the key frees at once. */
+  private void giveUp() {
+    enter(State.FOLLOWING);
+    if (hold != null) {
+      outbox.call(new Request.Drop(hold), answer -> {});
+      hold = null;
+    }
+  }
+
+  private void campaign(Moment now) {
+    enter(State.GRANTING);
+    calling = true;
+    outbox.call(
+        new Request.Grant(TTL),
+        answer -> {
+          calling = false;
+          nextStep = now.plus(RETRY);
+          if (answer instanceof Answer.Granted granted && view.leader().isEmpty()) {
+            hold = granted.hold();
+            leaseFrom = now;
+            enter(State.CLAIMING);
+            claim(now);
+          } else {
+            hold = answer instanceof Answer.Granted granted ? granted.hold() : null;
+            giveUp();
+          }
+        });
+  }
+
+  private void claim(Moment now) {
+    calling = true;
+    StoredValue.LeaderRecord record = new StoredValue.LeaderRecord(node, incarnation);
+    outbox.call(
+        new Request.Commit(
+            List.of(new Guard(Keys.LEADER, Revision.NONE)),
+            List.of(new Change.Put(Keys.LEADER, record, Optional.of(hold))),
+            Request.Urgency.LEADERSHIP),
+        answer -> {
+          calling = false;
+          nextStep = now.plus(RETRY);
+          // Whatever came back, the copy of the store tells: a lost answer may hide a success,
+          // and the write may yet be applied.
+          if (state == State.CLAIMING) {
+            view.catchUp(now, known -> {});
+          }
+        });
+  }
+
+  /** A claim is out. Only the copy of the store ends it; a lease that ran out voids it. */
+  private void settleClaim(Moment now) {
+    if (now.past(leaseFrom, TTL.plus(TTL).surelyPassed())) {
+      // The lease has ended at the store, so the write can't be applied any more.
+      giveUp();
+      return;
+    }
+    nextStep = now.plus(RETRY);
+    view.catchUp(now, known -> {});
+  }
+
+  private void renew(Moment now) {
+    calling = true;
+    nextStep = now.plus(RENEW);
+    outbox.call(
+        new Request.Renew(hold),
+        answer -> {
+          calling = false;
+          if (!reigning()) {
+            return;
+          }
+          if (answer instanceof Answer.Ok) {
+            leaseFrom = now;
+            if (state != State.LEADING) {
+              enter(State.LEADING);
+            }
+          } else if (answer instanceof Answer.Refused refused && refused.status() == 404) {
+            // The lease ended, so the key is gone or soon will be; the watch will tell as well.
+            LOG.info("lease of token {} ended", token);
+            hold = null;
+            fall(now);
+          } else {
+            nextStep = now.plus(RETRY);
+          }
+        });
+  }
+
+  /** The one place where the state changes. */
+  private void enter(State next) {
+    if (next == state) {
+      return;
+    }
+    if (!LEGAL.get(state).contains(next)) {
+      throw new IllegalStateException("leadership " + state + " to " + next);
+    }
+    LOG.info("leadership {} to {}, token {}", state, next, token);
+    state = next;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -0,0 +1,99 @@
+package org.oakwalk.core.placement;
+
+import java.util.Collection;
+import org.oakwalk.core.Policy;
+import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Room;
+
+/**
+ * Chooses the machine nearest to an ideal one, which has the lowest use of each resource seen on
+ * any machine, and holds the task's image already.
+ */
+public final class IdealHost {
+  private static final double LONG_FETCH_SECONDS = 10;
+
+  private final Policy.Hosts policy;
+
+  public IdealHost(Policy.Hosts policy) {
+    this.policy = policy;
+  }
+
+  /** The nearest of the machines that have room for a task, or null. */
+  public Machine choose(JobSpec spec, Collection<Machine> candidates) {
+    double leastCpu = Double.MAX_VALUE;
+    double leastMemory = Double.MAX_VALUE;
+    double leastGpu = Double.MAX_VALUE;
+    for (Machine machine : candidates) {
+      leastCpu = Math.min(leastCpu, cpuUse(machine));
+      leastMemory = Math.min(leastMemory, memoryUse(machine));
+      leastGpu = Math.min(leastGpu, gpuUse(machine));
+    }
+    Machine best = null;
+    double bestDistance = Double.MAX_VALUE;
+    for (Machine machine : candidates) {
+      if (!fits(spec, machine)) {
+        continue;
+      }
+      double distance =
+          square(cpuUse(machine) - leastCpu)
+              + square(memoryUse(machine) - leastMemory)
+              + square(gpuUse(machine) - leastGpu)
+              + square(policy.imageWeight() * fetchShare(spec, machine));
+      if (distance < bestDistance) {
+        bestDistance = distance;
+        best = machine;
+      }
+    }
+    return best;
+  }
+
+  /** Whether the task fits under the mark. */
+  public boolean fits(JobSpec spec, Machine machine) {
+    Room room = spec.room();
+    Room free = machine.free();
+    if (!room.fits(free)) {
+      return false;
+    }
+    Room whole = machine.type().room();
+    return underMark(room.cpus(), free.cpus(), whole.cpus())
+        && underMark(room.memoryGb(), free.memoryGb(), whole.memoryGb());
+  }
+
+  /**
+   * The mark keeps a tenth of a machine free against overload. Where a single task takes more than
+   * that tenth, the mark would leave a whole place unused, so such a task may use all.
+   */
+  private boolean underMark(double asked, double free, double whole) {
+    double spared = (1 - policy.mark()) * whole;
+    return asked > spared || free - asked >= spared - 1e-9;
+  }
+
+  private static double fetchShare(JobSpec spec, Machine machine) {
+    if (machine.hasImage(spec.image())) {
+      return 0;
+    }
+    double seconds = machine.type().fetch(spec.imageGb()).asSeconds();
+    return Math.min(1, seconds / LONG_FETCH_SECONDS);
+  }
+
+  private static double cpuUse(Machine machine) {
+    return use(machine.used().cpus(), machine.type().room().cpus());
+  }
+
+  private static double memoryUse(Machine machine) {
+    return use(machine.used().memoryGb(), machine.type().room().memoryGb());
+  }
+
+  private static double gpuUse(Machine machine) {
+    return use(machine.used().gpus(), machine.type().room().gpus());
+  }
+
+  private static double use(double used, double whole) {
+    return whole <= 0 ? 0 : used / whole;
+  }
+
+  private static double square(double value) {
+    return value * value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/placement/RunTimes.java
@@ -0,0 +1,53 @@
+package org.oakwalk.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobSpec;
+
+/** Learns per class of jobs by how much its owners' guesses are off. */
+public final class RunTimes {
+  private static final double KEEP = 0.95;
+  private static final double LEAST = 0.2;
+  private static final double MOST = 5;
+
+  /** How the run times of one job compare with its guess, and how many were seen. */
+  private static final class Ratio {
+    double mean = 1;
+    int seen;
+
+    void add(double ratio) {
+      seen++;
+      double weight = Math.max(1.0 / (seen + 1), 1 - KEEP);
+      mean += weight * (ratio - mean);
+    }
+  }
+
+  private final Map<String, Ratio> byClass = new HashMap<>();
+  private final Map<JobId, Ratio> byJob = new HashMap<>();
+
+  /** A task of this job took this long. */
+  public void learn(Job job, Span ran) {
+    double guess = job.spec().guess().asSeconds();
+    if (guess > 0) {
+      double ratio = Math.min(MOST, Math.max(LEAST, ran.asSeconds() / guess));
+      byClass.computeIfAbsent(job.spec().jobClass(), c -> new Ratio()).add(ratio);
+      byJob.computeIfAbsent(job.id(), c -> new Ratio()).add(ratio);
+    }
+  }
+
+  /** The expected run time of a task of this job; zero for services. */
+  public Span expected(JobSpec spec) {
+    Ratio job = byJob.get(spec.id());
+    Ratio kind = byClass.get(spec.jobClass());
+    double factor = job != null && job.seen >= 2 ? job.mean : kind != null ? kind.mean : 1;
+    return spec.guess().times(factor);
+  }
+
+  /** Forgets a job that is over. */
+  public void forget(JobId id) {
+    byJob.remove(id);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/placement/Score.java
@@ -0,0 +1,66 @@
+package org.oakwalk.core.placement;
+
+import org.oakwalk.core.Policy;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.Priority;
+import org.oakwalk.core.job.Room;
+
+/**
+ * The order in which tasks leave the queue: alpha times importance plus the rest of alpha times
+ * urgency, where urgency grows with a near deadline, a short rest of run time and a long wait.
+ */
+public final class Score {
+  private static final double HOUR_MS = 3_600_000.0;
+  private static final double FLOOR_HOURS = 1.0 / 60;
+
+  private final Policy.Scoring weights;
+
+  public Score(Policy.Scoring weights) {
+    this.weights = weights;
+  }
+
+  /**
+   * Scores the waiting tasks of a job.
+   *
+   * @param remaining expected run time of one of its tasks; zero if it has no end
+   * @param wait how long its tasks have been waiting
+   * @param largest room of the largest machine, against which requests are measured
+   * @param guaranteed whether the job is within its team's guarantee
+   */
+  public double of(
+      Job job, Span remaining, Span wait, Room largest, boolean guaranteed, WallTime now) {
+    double importance = value(job.spec().priority()) * job.spec().room().share(largest);
+    double urgency =
+        weights.deadlineWeight() * nearness(job, now)
+            + weights.remainingWeight() * shortness(remaining)
+            + weights.waitWeight() * Math.max(0, wait.millis()) / HOUR_MS;
+    return weights.alpha() * importance
+        + (1 - weights.alpha()) * urgency
+        + (guaranteed ? weights.guaranteeBonus() : 0);
+  }
+
+  /** One over the hours left to the deadline; a job without one counts as farthest away. */
+  private static double nearness(Job job, WallTime now) {
+    return job.spec()
+        .due()
+        .map(due -> due.minus(now.since(job.accepted())).millis() / HOUR_MS)
+        .map(left -> 1 / Math.max(left, FLOOR_HOURS))
+        .orElse(0.0);
+  }
+
+  private static double shortness(Span remaining) {
+    return remaining.millis() <= 0 ? 0 : 1 / Math.max(remaining.millis() / HOUR_MS, FLOOR_HOURS);
+  }
+
+  /** Steps between priorities are wide enough that urgency alone does not bridge them. */
+  private static double value(Priority priority) {
+    return switch (priority) {
+      case LOW -> 1;
+      case NORMAL -> 10;
+      case HIGH -> 1000;
+      case PRODUCTION -> 4000;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/port/Outbox.java
@@ -0,0 +1,42 @@
+package org.oakwalk.core.port;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.oakwalk.core.CallId;
+import org.oakwalk.core.ExchangeId;
+
+/** Collects effects and remembers who waits for which answer. */
+public final class Outbox {
+  private final Map<CallId, Consumer<Answer>> waiting = new HashMap<>();
+  private List<Effect> effects = new ArrayList<>();
+  private long calls;
+
+  /** Sends a request and hands its answer to {@code then}. */
+  public void call(Request request, Consumer<Answer> then) {
+    CallId id = new CallId(++calls);
+    waiting.put(id, then);
+    effects.add(new Effect.Call(id, request));
+  }
+
+  public void respond(ExchangeId exchange, Response response) {
+    effects.add(new Effect.Respond(exchange, response));
+  }
+
+  /** Delivers an answer; one that nobody waits for is dropped. */
+  public void answered(CallId call, Answer answer) {
+    Consumer<Answer> then = waiting.remove(call);
+    if (then != null) {
+      then.accept(answer);
+    }
+  }
+
+  /** Hands over what has been collected. */
+  public List<Effect> drain() {
+    List<Effect> drained = effects;
+    effects = new ArrayList<>();
+    return drained;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/port/PeerMessage.java
@@ -0,0 +1,28 @@
+package org.oakwalk.core.port;
+
+import java.util.Map;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Token;
+
+/** What controllers say to each other. */
+public sealed interface PeerMessage {
+
+  /** How many tasks of a job are done and running. */
+  record Counts(int done, int running) {}
+
+  /** The leader's view of the open jobs, for display. */
+  record Digest(NodeId from, Token token, Map<JobId, Counts> counts) implements PeerMessage {}
+
+  /**
+   * Answer to a digest. {@code settled} says that the sender acts under no token of its own older
+   * than the digest's and never will again in this life.
+   */
+  record Acknowledged(NodeId from, boolean settled) implements PeerMessage {}
+
+  /** A user's request that its receiver cannot serve, for lack of the state service. */
+  record Forward(UserRequest request) implements PeerMessage {}
+
+  /** Answer to a forwarded request. */
+  record Forwarded(Response response) implements PeerMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -0,0 +1,195 @@
+package org.oakwalk.core.recovery;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.fleet.Fleet;
+import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.job.ResultWriter;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.DoneBits;
+import org.oakwalk.core.store.Entry;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.StoredValue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings a new leader up to date: stored results, then the machines' registry, then a confirmation
+ * from each registered machine. Until the last has come, or the machine is surely empty, no task of
+ * an older job that has not been seen is placed: it may run on a machine not heard yet.
+ */
+public final class Recovery {
+  private static final Logger LOG = LoggerFactory.getLogger(Recovery.class);
+
+  /** Steps of the recovery. */
+  public enum State {
+    READING_RESULTS,
+    READING_MACHINES,
+    CONFIRMING,
+    COMPLETE
+  }
+
+  private static final Span RETRY = Span.millis(200);
+
+  private final Outbox outbox;
+  private final Fleet fleet;
+  private final JobBook jobs;
+  private final ResultWriter results;
+  private final Registry registry;
+  private final Moment rose;
+  private final Set<NodeId> unsettledPeers;
+  private Moment lastForeignRenewal;
+  private Map<String, MachineType> types = Map.of();
+  private State state = State.READING_RESULTS;
+  private boolean reading;
+  private Optional<String> after = Optional.empty();
+  private Moment nextTry = new Moment(Long.MIN_VALUE / 2);
+
+  public Recovery(
+      Outbox outbox,
+      Fleet fleet,
+      JobBook jobs,
+      ResultWriter results,
+      Registry registry,
+      List<NodeId> peers,
+      Span coastLimit,
+      Moment rose) {
+    this.outbox = outbox;
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.results = results;
+    this.registry = registry;
+    this.rose = rose;
+    this.unsettledPeers = new HashSet<>(peers);
+    this.lastForeignRenewal = rose.plus(coastLimit.surelyPassed());
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** Whether reports can be made use of. */
+  public boolean readsReports() {
+    return state == State.CONFIRMING || state == State.COMPLETE;
+  }
+
+  public boolean complete() {
+    return state == State.COMPLETE;
+  }
+
+  /** The last moment at which an earlier leader may have renewed a worker's lease. */
+  public Moment lastForeignRenewal() {
+    return lastForeignRenewal;
+  }
+
+  /** A peer says that it acts under no older token any more. */
+  public void settled(NodeId peer, Moment now) {
+    if (unsettledPeers.remove(peer)
+        && unsettledPeers.isEmpty()
+        && lastForeignRenewal.isAfter(now)) {
+      lastForeignRenewal = now;
+      LOG.info("all peers have let go, token {}", fleet.token());
+    }
+  }
+
+  public void tick(Map<String, MachineType> known, Moment now) {
+    types = known;
+    if (reading || nextTry.isAfter(now)) {
+      return;
+    }
+    switch (state) {
+      case READING_RESULTS -> read(Keys.DONE, this::result, State.READING_MACHINES, now);
+      case READING_MACHINES -> {
+        if (!types.isEmpty()) {
+          read(Keys.MACHINES, entry -> machine(entry, now), State.CONFIRMING, now);
+        }
+      }
+      case CONFIRMING -> {
+        if (!fleet.anyUnconfirmed()) {
+          LOG.info("recovery took {}, token {}", now.since(rose), fleet.token());
+          enter(State.COMPLETE);
+        }
+      }
+      case COMPLETE -> {}
+    }
+  }
+
+  private void read(String prefix, Consumer<Entry> take, State next, Moment now) {
+    reading = true;
+    outbox.call(
+        new Request.ReadPage(prefix, after, Request.Urgency.LEADERSHIP),
+        answer -> {
+          reading = false;
+          if (!(answer instanceof Answer.Page page)) {
+            nextTry = now.plus(RETRY);
+            return;
+          }
+          page.entries().forEach(take);
+          if (page.more() && !page.entries().isEmpty()) {
+            after = Optional.of(page.entries().get(page.entries().size() - 1).key());
+          } else {
+            after = Optional.empty();
+            enter(next);
+          }
+        });
+  }
+
+  private void result(Entry entry) {
+    String[] parts = entry.key().substring(Keys.DONE.length()).split("/");
+    if (parts.length != 2 || !(entry.value() instanceof StoredValue.DoneChunk chunk)) {
+      return;
+    }
+    JobId id = new JobId(parts[0]);
+    results.found(id);
+    jobs.find(id)
+        .ifPresent(
+            job -> {
+              int from = Integer.parseInt(parts[1]) * DoneBits.CHUNK;
+              DoneBits.decode(chunk.bits()).stream()
+                  .map(bit -> from + bit)
+                  .filter(index -> index < job.spec().tasks())
+                  .forEach(job::restore);
+            });
+  }
+
+  private void machine(Entry entry, Moment now) {
+    if (entry.value() instanceof StoredValue.MachineRecord record) {
+      MachineId id = record.id();
+      registry.found(id);
+      if (fleet
+          .add(
+              id,
+              record.address(),
+              record.type(),
+              record.zone(),
+              record.spot(),
+              Machine.State.UNCONFIRMED,
+              now)
+          .isEmpty()) {
+        LOG.error("machine {} has the unknown type {}", id, record.type());
+      }
+    }
+  }
+
+  /** The one place where the state changes. */
+  private void enter(State next) {
+    if (next.ordinal() != state.ordinal() + 1) {
+      throw new IllegalStateException("recovery from " + state + " to " + next);
+    }
+    state = next;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/store/DoneBits.java
@@ -0,0 +1,21 @@
+package org.oakwalk.core.store;
+
+import java.util.BitSet;
+import java.util.HexFormat;
+
+/** Text form of a set of finished tasks. */
+public final class DoneBits {
+  /** Tasks in one stored value: two kilobytes as text. */
+  public static final int CHUNK = 8192;
+
+  private DoneBits() {}
+
+  public static String encode(BitSet part) {
+    return HexFormat.of().formatHex(part.toByteArray());
+  }
+
+  /** Reads the text form; throws IllegalArgumentException if it is not one. */
+  public static BitSet decode(String text) {
+    return BitSet.valueOf(HexFormat.of().parseHex(text));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/store/Keys.java
@@ -0,0 +1,30 @@
+package org.oakwalk.core.store;
+
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+
+/** Names of the keys in the state service. */
+public final class Keys {
+  /** One watch covers everything below: the leader key and the jobs. */
+  public static final String WATCHED = "oak/a/";
+
+  public static final String LEADER = WATCHED + "leader";
+  public static final String JOBS = WATCHED + "job/";
+  public static final String DONE = "oak/done/";
+  public static final String MACHINES = "oak/machine/";
+
+  private Keys() {}
+
+  public static String job(JobId id) {
+    return JOBS + id.value();
+  }
+
+  public static String machine(MachineId id) {
+    return MACHINES + id.value();
+  }
+
+  /** Finished tasks of the job from {@code chunk} times the chunk size on. */
+  public static String done(JobId id, int chunk) {
+    return DONE + id.value() + "/" + chunk;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -0,0 +1,256 @@
+package org.oakwalk.core.store;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+
+/**
+ * This node's copy of the leader key and of all jobs, kept current by one watch.
+ *
+ * <p>Every change is applied in the order of its revision, so a job that was stored after a change
+ * of leader is never seen before that change. {@link #catchUp} gives callers the certainty that the
+ * copy holds everything that was stored before they asked.
+ */
+public final class StoreView {
+  /** How much of the store is known. */
+  public enum State {
+    LOADING,
+    LIVE
+  }
+
+  /** Told of each change after it was applied. */
+  public interface Listener {
+    void leaderChanged(Moment now);
+
+    void jobChanged(KnownJob job, Moment now);
+  }
+
+  /** The leader key as last seen. */
+  public record Leader(StoredValue.LeaderRecord record, Token token) {}
+
+  private static final Span HOLD = Span.millis(1000);
+  private static final Span RETRY = Span.millis(250);
+  private static final Span STALE = Span.millis(2500);
+
+  private final Outbox outbox;
+  private final Span spacing;
+  private final Map<JobId, KnownJob> jobs = new HashMap<>();
+  private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+  private Listener listener;
+  private State state = State.LOADING;
+  private Optional<Leader> leader = Optional.empty();
+  private Revision leaderStamp = new Revision(0);
+  private Revision position = new Revision(0);
+  private Revision loadEpoch;
+  private boolean leaderOnPages;
+  private Optional<String> loadAfter = Optional.empty();
+  private boolean busy;
+  private boolean reading;
+  private Moment nextTry = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextRead = new Moment(Long.MIN_VALUE / 2);
+  private Moment contact = new Moment(Long.MIN_VALUE / 2);
+  private boolean failing;
+  private boolean everLive;
+  private Moment clock = new Moment(0);
+
+  public StoreView(Outbox outbox, double requestsPerSecond) {
+    this.outbox = outbox;
+    this.spacing = Span.millis(Math.max(10, Math.round(5000 / requestsPerSecond)));
+  }
+
+  public void listen(Listener to) {
+    this.listener = to;
+  }
+
+  public Optional<Leader> leader() {
+    return leader;
+  }
+
+  public Optional<KnownJob> job(JobId id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+
+  public Collection<KnownJob> jobs() {
+    return jobs.values();
+  }
+
+  /** Whether everything has been read once. */
+  public boolean loaded() {
+    return everLive;
+  }
+
+  /** Whether the copy is complete and was confirmed a short time ago. */
+  public boolean fresh(Moment now) {
+    return state == State.LIVE && !now.past(contact, STALE);
+  }
+
+  /** Begin of the last read that succeeded: everything stored before it is known here. */
+  public Moment contact() {
+    return contact;
+  }
+
+  /** Keeps the watch and the reads going. */
+  public void tick(Moment now) {
+    clock = now;
+    if (!busy && !nextTry.isAfter(now)) {
+      if (state == State.LOADING) {
+        load(now);
+      } else {
+        watch(now);
+      }
+    }
+    read(now);
+  }
+
+  /**
+   * Calls back with true once everything that was stored before this call is known, or with false
+   * if that can't be had now. Requests that come together share one read.
+   */
+  public void catchUp(Moment now, Consumer<Boolean> then) {
+    if (state != State.LIVE || (failing && !fresh(now))) {
+      then.accept(false);
+      return;
+    }
+    waiting.add(then);
+    read(now);
+  }
+
+  private void read(Moment now) {
+    if (reading || waiting.isEmpty() || nextRead.isAfter(now) || state != State.LIVE) {
+      return;
+    }
+    List<Consumer<Boolean>> served = new ArrayList<>(waiting);
+    waiting.clear();
+    reading = true;
+    nextRead = now.plus(spacing);
+    Request.Watch request =
+        new Request.Watch(Keys.WATCHED, position, Span.millis(0), Request.Urgency.ACCEPTANCE);
+    outbox.call(
+        request,
+        answer -> {
+          reading = false;
+          boolean current = take(answer, now);
+          served.forEach(waiter -> waiter.accept(current));
+        });
+  }
+
+  private void watch(Moment now) {
+    busy = true;
+    outbox.call(
+        new Request.Watch(Keys.WATCHED, position, HOLD, Request.Urgency.LEADERSHIP),
+        answer -> {
+          busy = false;
+          if (!take(answer, now)) {
+            nextTry = clock.plus(RETRY);
+          } else {
+            tick(clock);
+          }
+        });
+  }
+
+  /** Applies the answer to a watch; false if it told nothing. */
+  private boolean take(Answer answer, Moment begun) {
+    if (answer instanceof Answer.Changes changes) {
+      for (News news : changes.news()) {
+        if (news.stamp().compareTo(position) > 0) {
+          apply(news.key(), news.value(), news.stamp());
+        }
+      }
+      if (changes.epoch().compareTo(position) > 0) {
+        position = changes.epoch();
+      }
+      touched(begun);
+      return true;
+    }
+    if (answer instanceof Answer.Refused refused && refused.status() == 410) {
+      // The history was cut off behind us: read everything again.
+      enter(State.LOADING);
+      return false;
+    }
+    failing = true;
+    return false;
+  }
+
+  private void load(Moment now) {
+    busy = true;
+    outbox.call(
+        new Request.ReadPage(Keys.WATCHED, loadAfter, Request.Urgency.LEADERSHIP),
+        answer -> {
+          busy = false;
+          if (!(answer instanceof Answer.Page page)) {
+            nextTry = clock.plus(RETRY);
+            failing = true;
+            return;
+          }
+          if (loadEpoch == null) {
+            loadEpoch = page.epoch();
+          }
+          for (Entry entry : page.entries()) {
+            leaderOnPages |= entry.key().equals(Keys.LEADER);
+            apply(entry.key(), Optional.of(entry.value()), entry.stamp());
+          }
+          if (page.more() && !page.entries().isEmpty()) {
+            loadAfter = Optional.of(page.entries().get(page.entries().size() - 1).key());
+          } else {
+            if (!leaderOnPages && leaderStamp.compareTo(loadEpoch) < 0) {
+              apply(Keys.LEADER, Optional.empty(), loadEpoch);
+            }
+            position = loadEpoch;
+            enter(State.LIVE);
+            touched(now);
+          }
+          tick(clock);
+        });
+  }
+
+  private void touched(Moment begun) {
+    failing = false;
+    if (begun.isAfter(contact)) {
+      contact = begun;
+    }
+  }
+
+  private void enter(State next) {
+    state = next;
+    if (next == State.LOADING) {
+      loadEpoch = null;
+      loadAfter = Optional.empty();
+      leaderOnPages = false;
+    } else {
+      everLive = true;
+    }
+  }
+
+  private void apply(String key, Optional<StoredValue> value, Revision stamp) {
+    if (key.equals(Keys.LEADER)) {
+      if (stamp.compareTo(leaderStamp) <= 0) {
+        return;
+      }
+      leaderStamp = stamp;
+      leader =
+          value
+              .filter(StoredValue.LeaderRecord.class::isInstance)
+              .map(v -> new Leader((StoredValue.LeaderRecord) v, new Token(stamp.value())));
+      listener.leaderChanged(clock);
+    } else if (value.isPresent() && value.get() instanceof JobRecord record) {
+      KnownJob known = jobs.get(record.spec().id());
+      if (known == null || known.stamp().compareTo(stamp) < 0) {
+        KnownJob job = KnownJob.of(record, stamp);
+        jobs.put(job.id(), job);
+        listener.jobChanged(job, clock);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/daemon/EventLoop.java
@@ -0,0 +1,101 @@
+package org.oakwalk.daemon;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.oakwalk.adapter.Listener;
+import org.oakwalk.adapter.Outside;
+import org.oakwalk.core.Controller;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.port.Effect;
+import org.oakwalk.core.port.Event;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread in which the core runs: takes events, hands out effects, keeps time. */
+final class EventLoop implements Runnable {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
+  private static final int LONGEST_QUEUE = 2000;
+  private static final long TICK_MILLIS = 50;
+
+  private final BlockingQueue<Object> queue = new ArrayBlockingQueue<>(LONGEST_QUEUE);
+  private final ConcurrentLinkedQueue<Runnable> answers = new ConcurrentLinkedQueue<>();
+  private final Controller controller;
+  private Outside outside;
+  private Listener listener;
+  private volatile boolean stopped;
+
+  EventLoop(Controller controller) {
+    this.controller = controller;
+  }
+
+  /** Connects the loop with the outside; to be called once, before it runs. */
+  void connect(Outside calls, Listener doors) {
+    outside = calls;
+    listener = doors;
+  }
+
+  /** Takes an event from any thread; false if there are too many. */
+  boolean offer(Event event) {
+    return queue.offer(event);
+  }
+
+  /** Runs something in the loop. Answers to own calls are bounded by the calls, so all fit. */
+  void later(Runnable task) {
+    answers.add(task);
+    queue.offer(Boolean.TRUE);
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  static long steadyMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  @Override
+  public void run() {
+    long nextTick = steadyMillis();
+    while (!stopped) {
+      try {
+        long now = steadyMillis();
+        if (now >= nextTick) {
+          nextTick = now + TICK_MILLIS;
+          handle(new Event.Tick(), now);
+        }
+        Object next = queue.poll(Math.max(1, nextTick - now), TimeUnit.MILLISECONDS);
+        now = steadyMillis();
+        outside.clock(now);
+        for (Runnable answer = answers.poll(); answer != null; answer = answers.poll()) {
+          answer.run();
+        }
+        if (next instanceof Event event) {
+          handle(event, now);
+        }
+        outside.pump(now);
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        // One event that can't be handled must not end the service.
+        LOG.error("event failed", e);
+      }
+    }
+  }
+
+  private void handle(Event event, long now) {
+    for (Effect effect :
+        controller.handle(event, new Moment(now), new WallTime(System.currentTimeMillis()))) {
+      if (effect instanceof Effect.Respond respond) {
+        listener.respond(respond.exchange(), respond.response());
+      } else if (effect instanceof Effect.Call call) {
+        outside.call(
+            call.request(),
+            now,
+            answer -> handle(new Event.Answered(call.call(), answer), steadyMillis()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/wire/Pack.java
@@ -0,0 +1,65 @@
+package org.oakwalk.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Trees to bytes and back, in the two encodings that go over the network. */
+final class Pack {
+  private static final ObjectMapper MESSAGE_PACK =
+      new ObjectMapper(new MessagePackFactory())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private static final ObjectMapper CBOR =
+      CBORMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+  private Pack() {}
+
+  static ObjectNode map() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  static byte[] messagePack(JsonNode tree) {
+    return write(MESSAGE_PACK, tree);
+  }
+
+  static ObjectNode messagePackMap(byte[] bytes) throws BadMessage {
+    return readMap(MESSAGE_PACK, bytes, "MessagePack");
+  }
+
+  static byte[] cbor(JsonNode tree) {
+    return write(CBOR, tree);
+  }
+
+  static ObjectNode cborMap(byte[] bytes) throws BadMessage {
+    return readMap(CBOR, bytes, "CBOR");
+  }
+
+  private static byte[] write(ObjectMapper mapper, JsonNode tree) {
+    try {
+      return mapper.writeValueAsBytes(tree);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("tree can't be written", e);
+    }
+  }
+
+  private static ObjectNode readMap(ObjectMapper mapper, byte[] bytes, String encoding)
+      throws BadMessage {
+    JsonNode tree;
+    try {
+      tree = mapper.readTree(bytes);
+    } catch (IOException | RuntimeException e) {
+      // The decoders also throw unchecked exceptions on bytes that are cut short or senseless.
+      throw new BadMessage("not " + encoding);
+    }
+    if (tree instanceof ObjectNode map) {
+      return map;
+    }
+    throw new BadMessage("not a map");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -0,0 +1,154 @@
+package org.oakwalk.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.port.UserRequest;
+
+/** What controllers say to each other, as CBOR. */
+public final class PeerCodec {
+  public static final String PATH = "/peer";
+
+  private PeerCodec() {}
+
+  public static byte[] encode(PeerMessage message) {
+    ObjectNode map = Pack.map();
+    if (message instanceof PeerMessage.Digest digest) {
+      map.put("sort", "digest");
+      map.put("from", digest.from().value());
+      map.put("token", digest.token().value());
+      ObjectNode counts = map.putObject("counts");
+      digest
+          .counts()
+          .forEach(
+              (id, count) -> counts.putArray(id.value()).add(count.done()).add(count.running()));
+    } else if (message instanceof PeerMessage.Acknowledged acknowledged) {
+      map.put("sort", "acknowledged");
+      map.put("from", acknowledged.from().value());
+      map.put("settled", acknowledged.settled());
+    } else if (message instanceof PeerMessage.Forward forward) {
+      map.put("sort", "forward");
+      request(forward.request(), map);
+    } else if (message instanceof PeerMessage.Forwarded forwarded) {
+      map.put("sort", "forwarded");
+      response(forwarded.response(), map);
+    }
+    return Pack.cbor(map);
+  }
+
+  public static PeerMessage decode(byte[] body) throws BadMessage {
+    ObjectNode map = Pack.cborMap(body);
+    Fields fields = new Fields(map);
+    String sort = fields.text("sort");
+    return switch (sort) {
+      case "digest" ->
+          new PeerMessage.Digest(
+              new NodeId(fields.text("from")),
+              new Token(fields.count("token")),
+              counts(fields.get("counts")));
+      case "acknowledged" ->
+          new PeerMessage.Acknowledged(new NodeId(fields.text("from")), fields.flag("settled"));
+      case "forward" -> new PeerMessage.Forward(request(fields));
+      case "forwarded" -> new PeerMessage.Forwarded(response(fields));
+      default -> throw new BadMessage("message of unknown sort " + sort);
+    };
+  }
+
+  static Answer answer(int status, byte[] body) throws BadMessage {
+    return status == 200
+        ? new Answer.Told(decode(body))
+        : new Answer.Refused(status, "peer refused");
+  }
+
+  private static Map<JobId, PeerMessage.Counts> counts(JsonNode node) throws BadMessage {
+    Map<JobId, PeerMessage.Counts> counts = new HashMap<>();
+    for (Map.Entry<String, JsonNode> field : node.properties()) {
+      JsonNode pair = field.getValue();
+      if (!JobId.wellFormed(field.getKey()) || !pair.isArray() || pair.size() != 2) {
+        throw new BadMessage("counts are malformed");
+      }
+      counts.put(
+          new JobId(field.getKey()),
+          new PeerMessage.Counts(pair.get(0).asInt(), pair.get(1).asInt()));
+    }
+    return counts;
+  }
+
+  private static void request(UserRequest request, ObjectNode map) {
+    map.put("job", request.job().value());
+    if (request instanceof UserRequest.Submit submit) {
+      map.put("ask", "submit");
+      map.put("problem", submit.problem());
+      submit.spec().ifPresent(spec -> JobCodec.encode(spec, map.putObject("spec")));
+    } else {
+      map.put("ask", request instanceof UserRequest.Query ? "query" : "withdraw");
+    }
+  }
+
+  private static UserRequest request(Fields fields) throws BadMessage {
+    if (!JobId.wellFormed(fields.text("job"))) {
+      throw new BadMessage("field job is malformed");
+    }
+    JobId job = new JobId(fields.text("job"));
+    String ask = fields.text("ask");
+    return switch (ask) {
+      case "query" -> new UserRequest.Query(job);
+      case "withdraw" -> new UserRequest.Withdraw(job);
+      case "submit" ->
+          new UserRequest.Submit(
+              job,
+              fields.has("spec")
+                  ? Optional.of(JobCodec.decode(fields.map("spec")))
+                  : Optional.empty(),
+              fields.text("problem"));
+      default -> throw new BadMessage("unknown request " + ask);
+    };
+  }
+
+  private static void response(Response response, ObjectNode map) {
+    if (response instanceof Response.JobStatus status) {
+      map.put("created", status.created());
+      map.put("job", status.job().value());
+      map.put("state", status.state().name());
+      map.put("done", status.done());
+      map.put("running", status.running());
+    } else if (response instanceof Response.Problem problem) {
+      map.put("status", problem.status());
+      map.put("reason", problem.reason());
+      problem.retryAfter().ifPresent(span -> map.put("retry_ms", span.millis()));
+    } else {
+      throw new IllegalArgumentException("not an answer to a user: " + response);
+    }
+  }
+
+  private static Response response(Fields fields) throws BadMessage {
+    if (fields.has("status")) {
+      return new Response.Problem(
+          (int) fields.count("status", 400, 599),
+          fields.text("reason"),
+          fields.has("retry_ms")
+              ? Optional.of(Span.millis(fields.count("retry_ms")))
+              : Optional.empty());
+    }
+    for (Response.JobState state : Response.JobState.values()) {
+      if (state.name().equals(fields.text("state"))) {
+        return new Response.JobStatus(
+            fields.flag("created"),
+            new JobId(fields.text("job")),
+            state,
+            (int) fields.count("done", 0, Integer.MAX_VALUE),
+            (int) fields.count("running", 0, Integer.MAX_VALUE));
+      }
+    }
+    throw new BadMessage("unknown state");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/wire/StateCodec.java
@@ -0,0 +1,191 @@
+package org.oakwalk.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.oakwalk.core.HoldId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.Entry;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.News;
+import org.oakwalk.core.store.StoredValue;
+
+/** Requests to the state service, its answers, and the form of the stored values. */
+public final class StateCodec {
+  /** So many keys of a few kilobytes stay below the service's limit for one answer. */
+  private static final int PAGE = 250;
+
+  private StateCodec() {}
+
+  public static HttpMessage encode(Request.State request) {
+    if (request instanceof Request.ReadPage read) {
+      String after = read.after().map(key -> "&from=" + escape(key)).orElse("");
+      return get("/store?starts=" + escape(read.prefix()) + after + "&limit=" + PAGE);
+    }
+    if (request instanceof Request.Watch watch) {
+      return get(
+          "/watch?starts="
+              + escape(watch.prefix())
+              + "&from="
+              + watch.after().value()
+              + "&hold_ms="
+              + watch.hold().millis());
+    }
+    if (request instanceof Request.Grant grant) {
+      return post("/leases", Pack.map().put("ttl_ms", grant.ttl().millis()));
+    }
+    if (request instanceof Request.Renew renew) {
+      return post("/leases/" + renew.hold().value() + "/renew", Pack.map());
+    }
+    if (request instanceof Request.Drop drop) {
+      return new HttpMessage("DELETE", "/leases/" + drop.hold().value(), null);
+    }
+    return post("/commit", commit((Request.Commit) request));
+  }
+
+  private static HttpMessage get(String path) {
+    return new HttpMessage("GET", path, null);
+  }
+
+  private static HttpMessage post(String path, ObjectNode body) {
+    return new HttpMessage("POST", path, Pack.messagePack(body));
+  }
+
+  private static String escape(String key) {
+    return URLEncoder.encode(key, StandardCharsets.UTF_8);
+  }
+
+  private static ObjectNode commit(Request.Commit request) {
+    ObjectNode map = Pack.map();
+    ArrayNode guards = map.putArray("guards");
+    for (Guard guard : request.guards()) {
+      guards.addObject().put("k", guard.key()).put("stamp", guard.stamp().value());
+    }
+    ArrayNode then = map.putArray("then");
+    for (Change change : request.changes()) {
+      ObjectNode item = then.addObject();
+      if (change instanceof Change.Put put) {
+        item.put("set", put.key());
+        item.set("value", value(put.value()));
+        put.hold().ifPresent(hold -> item.put("hold", hold.value()));
+      } else if (change instanceof Change.Remove remove) {
+        item.put("delete", remove.key());
+      }
+    }
+    return map;
+  }
+
+  public static Answer decode(Request.State request, int status, byte[] body) throws BadMessage {
+    if (status == 409 && request instanceof Request.Commit) {
+      return new Answer.Conflict(new Fields(Pack.messagePackMap(body)).texts("failed"));
+    }
+    if (status != 200 && status != 201 && status != 204) {
+      return new Answer.Refused(status, "");
+    }
+    if (request instanceof Request.Renew || request instanceof Request.Drop) {
+      return new Answer.Ok();
+    }
+    Fields fields = new Fields(Pack.messagePackMap(body));
+    if (request instanceof Request.ReadPage) {
+      List<Entry> entries = new ArrayList<>();
+      for (JsonNode item : fields.list("entries")) {
+        Fields entry = Fields.of(item);
+        entries.add(
+            new Entry(
+                entry.text("k"), value(entry.map("value")), new Revision(entry.count("stamp"))));
+      }
+      return new Answer.Page(entries, fields.flag("more"), new Revision(fields.count("epoch")));
+    }
+    if (request instanceof Request.Watch) {
+      return changes(fields);
+    }
+    if (request instanceof Request.Grant) {
+      return new Answer.Granted(new HoldId(fields.count("hold")));
+    }
+    return new Answer.Committed(new Revision(fields.count("epoch")));
+  }
+
+  private static Answer changes(Fields fields) throws BadMessage {
+    List<News> news = new ArrayList<>();
+    if (fields.has("news")) {
+      for (JsonNode node : fields.list("news")) {
+        Fields item = Fields.of(node);
+        Revision stamp = new Revision(item.count("stamp"));
+        if (item.has("set")) {
+          news.add(new News(item.text("set"), Optional.of(value(item.map("value"))), stamp));
+        } else {
+          news.add(new News(item.text("delete"), Optional.empty(), stamp));
+        }
+      }
+    }
+    return new Answer.Changes(new Revision(fields.count("epoch")), news);
+  }
+
+  static ObjectNode value(StoredValue value) {
+    ObjectNode map = Pack.map();
+    if (value instanceof JobRecord job) {
+      map.put("sort", "job");
+      map.put("phase", job.phase().name());
+      map.put("accepted", job.accepted().millis());
+      JobCodec.encode(job.spec(), map.putObject("spec"));
+    } else if (value instanceof StoredValue.LeaderRecord leader) {
+      map.put("sort", "leader");
+      map.put("node", leader.node().value());
+      map.put("incarnation", leader.incarnation());
+    } else if (value instanceof StoredValue.DoneChunk chunk) {
+      map.put("sort", "done");
+      map.put("bits", chunk.bits());
+    } else if (value instanceof StoredValue.MachineRecord machine) {
+      map.put("sort", "machine");
+      map.put("id", machine.id().value());
+      map.put("address", machine.address());
+      map.put("type", machine.type());
+      map.put("zone", machine.zone());
+      map.put("spot", machine.spot());
+    }
+    return map;
+  }
+
+  static StoredValue value(Fields map) throws BadMessage {
+    String sort = map.text("sort");
+    return switch (sort) {
+      case "job" ->
+          new JobRecord(
+              JobCodec.decode(map.map("spec")),
+              phase(map.text("phase")),
+              new WallTime(map.count("accepted")));
+      case "leader" ->
+          new StoredValue.LeaderRecord(new NodeId(map.text("node")), map.text("incarnation"));
+      case "done" -> new StoredValue.DoneChunk(map.text("bits"));
+      case "machine" ->
+          new StoredValue.MachineRecord(
+              new MachineId(map.text("id")),
+              map.text("address"),
+              map.text("type"),
+              map.text("zone"),
+              map.flag("spot"));
+      default -> throw new BadMessage("stored value of unknown sort " + sort);
+    };
+  }
+
+  private static JobRecord.Phase phase(String name) throws BadMessage {
+    for (JobRecord.Phase phase : JobRecord.Phase.values()) {
+      if (phase.name().equals(name)) {
+        return phase;
+      }
+    }
+    throw new BadMessage("unknown phase " + name);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/oakwalk/wire/WorkerCodec.java
@@ -0,0 +1,130 @@
+package org.oakwalk.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Request;
+
+/** Workers' reports and the orders to them. */
+public final class WorkerCodec {
+  public static final String REPORT_PATH = "/hello";
+  private static final String COMMAND_PATH = "/do";
+
+  private static final Map<String, Report.PieceState> STATES =
+      Map.of(
+          "fetching", Report.PieceState.FETCHING,
+          "gathering", Report.PieceState.GATHERING,
+          "running", Report.PieceState.RUNNING,
+          "flushing", Report.PieceState.FLUSHING,
+          "ended", Report.PieceState.ENDED);
+  private static final Map<String, Report.Cause> CAUSES =
+      Map.of(
+          "done", Report.Cause.DONE,
+          "halted", Report.Cause.HALTED,
+          "error", Report.Cause.ERROR,
+          "no_room", Report.Cause.NO_ROOM,
+          "busy", Report.Cause.BUSY,
+          "unknown", Report.Cause.UNKNOWN);
+
+  private WorkerCodec() {}
+
+  public static Report report(byte[] body) throws BadMessage {
+    Fields fields = new Fields(Pack.messagePackMap(body));
+    List<Report.Piece> pieces = new ArrayList<>();
+    if (fields.has("pieces")) {
+      for (JsonNode item : fields.list("pieces")) {
+        pieces.add(piece(Fields.of(item)));
+      }
+    }
+    return new Report(
+        new MachineId(fields.shortText("host")),
+        fields.shortText("addr"),
+        fields.shortText("flavor"),
+        fields.shortText("region"),
+        fields.flag("leftovers"),
+        new SessionId(fields.count("shift")),
+        fields.count("tick"),
+        new Token(fields.has("baton") ? fields.count("baton") : 0),
+        fields.optionalSeconds("warning_s"),
+        pieces);
+  }
+
+  private static Report.Piece piece(Fields fields) throws BadMessage {
+    TaskId task =
+        TaskId.parse(fields.text("piece"))
+            .orElseThrow(() -> new BadMessage("field piece is malformed"));
+    Report.PieceState state = STATES.get(fields.text("status"));
+    if (state == null) {
+      throw new BadMessage("field status has an unknown value");
+    }
+    Report.Cause cause =
+        state != Report.PieceState.ENDED
+            ? null
+            : CAUSES.getOrDefault(
+                fields.has("cause") ? fields.text("cause") : "", Report.Cause.OTHER);
+    return new Report.Piece(task, new Attempt(fields.count("try")), state, cause);
+  }
+
+  /** The answer to a report. */
+  public static byte[] orders(Token token, List<Order> orders) {
+    ObjectNode map = Pack.map();
+    map.put("baton", token.value());
+    put(map, orders);
+    return Pack.messagePack(map);
+  }
+
+  /** The answer of a node that does not lead. */
+  public static byte[] elsewhere(Optional<NodeId> leader) {
+    ObjectNode map = Pack.map();
+    leader.ifPresent(node -> map.put("boss", node.value()));
+    return Pack.messagePack(map);
+  }
+
+  static HttpMessage command(Request.Command command) {
+    ObjectNode map = Pack.map();
+    map.put("baton", command.token().value());
+    map.put("shift", command.session().value());
+    put(map, command.orders());
+    return new HttpMessage("POST", COMMAND_PATH, Pack.messagePack(map));
+  }
+
+  static Answer commanded(int status, byte[] body) throws BadMessage {
+    return switch (status) {
+      case 200 -> new Answer.Commanded(true, report(body));
+      case 409 -> new Answer.Commanded(false, report(body));
+      default -> new Answer.Refused(status, "");
+    };
+  }
+
+  private static void put(ObjectNode map, List<Order> orders) {
+    ArrayNode list = map.putArray("orders");
+    for (Order order : orders) {
+      ObjectNode item = list.addObject();
+      if (order instanceof Order.Run) {
+        item.put("verb", "run");
+      } else if (order instanceof Order.Halt) {
+        item.put("verb", "halt");
+      } else {
+        item.put("verb", "clear");
+      }
+      item.put("piece", order.task().toString());
+      item.put("try", order.attempt().value());
+      if (order instanceof Order.Halt halt) {
+        item.put("wind_down_s", halt.grace().asSeconds());
+      }
+    }
+  }
+}
