--- a/src/main/java/org/oakwalk/wire/Pack.java
+++ b/src/main/java/org/oakwalk/wire/Pack.java
@@ -1,7 +1,8 @@
 package org.oakwalk.wire;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.core.io.JsonEOFException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -12,11 +13,8 @@
 
 /** Trees to bytes and back, in the two encodings that go over the network. */
 final class Pack {
-  private static final ObjectMapper MESSAGE_PACK =
-      new ObjectMapper(new MessagePackFactory())
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
-  private static final ObjectMapper CBOR =
-      CBORMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+  private static final ObjectMapper MESSAGE_PACK = new ObjectMapper(new MessagePackFactory());
+  private static final ObjectMapper CBOR = new CBORMapper();
 
   private Pack() {}
 
@@ -51,8 +49,11 @@
   private static ObjectNode readMap(ObjectMapper mapper, byte[] bytes, String encoding)
       throws BadMessage {
     JsonNode tree;
-    try {
-      tree = mapper.readTree(bytes);
+    try (JsonParser parser = mapper.createParser(bytes)) {
+      tree = mapper.readTree(parser);
+      if (!atEnd(parser)) {
+        throw new BadMessage("bytes after the end");
+      }
     } catch (IOException | RuntimeException e) {
       // The decoders also throw unchecked exceptions on bytes that are cut short or senseless.
       throw new BadMessage("not " + encoding);
@@ -62,4 +63,13 @@
     }
     throw new BadMessage("not a map");
   }
+
+  /** The MessagePack parser reports the regular end as an error of its own, CBOR's as no token. */
+  private static boolean atEnd(JsonParser parser) throws IOException {
+    try {
+      return parser.nextToken() == null;
+    } catch (JsonEOFException e) {
+      return true;
+    }
+  }
 }
