--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -96,6 +96,11 @@
         });
   }
 
+  /** Whether this node holds a token that it has not seen fall. */
+  public boolean leads() {
+    return leadership.reigning();
+  }
+
   private Leadership leadership() {
     return leadership;
   }
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -178,7 +178,8 @@
           up++;
           if (now.past(machine.heard(), suspectAfter)) {
             silent.add(machine);
-          } else if (machine.errors() >= 4) {
+          } else if (machine.faulty() && !machine.draining()) {
+            LOG.info("machine {} fails its tasks and is left out", machine.id());
             machine.drain(true);
           }
           if (machine.draining() && machine.idle()) {
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -115,10 +115,14 @@
     return Optional.of(machine);
   }
 
+  /** The next attempt number; all tasks of a gang share one, by which they find each other. */
+  public Attempt nextAttempt() {
+    return Attempt.of(token, ++attempts);
+  }
+
   /** Puts a task on a machine. The order goes out by command or with the next response. */
-  public Placement place(Job job, int index, Machine machine, Moment now) {
-    Placement placement =
-        hold(job, new TaskId(job.id(), index), Attempt.of(token, ++attempts), machine, now);
+  public Placement place(Job job, int index, Attempt attempt, Machine machine, Moment now) {
+    Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, now);
     toCommand.add(machine);
     LOG.debug("task {} try {} placed on {}", placement.task(), placement.attempt(), machine.id());
     return placement;
@@ -284,7 +288,7 @@
       }
       case ERROR -> {
         LOG.info("task {} failed on {}", placement.task(), machine.id());
-        machine.failed();
+        machine.failed(job);
         job.pause(index, true, now);
       }
       case NO_ROOM -> {
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -12,11 +12,13 @@
 import java.util.Optional;
 import java.util.Set;
 import org.oakwalk.core.Attempt;
+import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.Room;
 
 /** A machine as one leader knows it. */
@@ -71,7 +73,8 @@
   private Moment blockedUntil;
   private Rental.Status listed;
   private boolean draining;
-  private int errors;
+  private boolean faulty;
+  private final Map<JobId, Integer> errors = new HashMap<>();
   private Room used = Room.NONE;
   private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
   private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
@@ -148,8 +151,17 @@
     return idleSince;
   }
 
-  public int errors() {
-    return errors;
+  /** Errors of this job's tasks here since one last succeeded. */
+  public int errorsOf(JobId job) {
+    return errors.getOrDefault(job, 0);
+  }
+
+  /**
+   * Whether the machine rather than a job is to blame for the errors here: tasks of several jobs
+   * failed one after the other, or tasks of a job that completes elsewhere.
+   */
+  public boolean faulty() {
+    return faulty;
   }
 
   public Rental.Status listed() {
@@ -228,12 +240,13 @@
     blockedUntil = until;
   }
 
-  void failed() {
-    errors++;
+  void failed(Job job) {
+    int count = errors.merge(job.id(), 1, Integer::sum);
+    faulty |= errors.size() >= 3 || (count >= 3 && job.doneCount() > 0);
   }
 
   void succeeded() {
-    errors = Math.max(0, errors - 1);
+    errors.clear();
   }
 
   /** Whether a report is older than what is known, or from a session that is surely over. */
--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -39,7 +39,8 @@
           square(cpuUse(machine) - leastCpu)
               + square(memoryUse(machine) - leastMemory)
               + square(gpuUse(machine) - leastGpu)
-              + square(policy.imageWeight() * fetchShare(spec, machine));
+              + square(policy.imageWeight() * fetchShare(spec, machine))
+              + machine.errorsOf(spec.id());
       if (distance < bestDistance) {
         bestDistance = distance;
         best = machine;
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.oakwalk.core.Attempt;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Policy;
 import org.oakwalk.core.Span;
@@ -144,7 +145,7 @@
       if (machine == null) {
         return Outcome.NO_ROOM;
       }
-      fleet.place(job, index, machine, now);
+      fleet.place(job, index, fleet.nextAttempt(), machine, now);
       placed++;
       zones.merge(machine.zone(), 1, Integer::sum);
       index = job.nextPending(index + 1, now);
@@ -156,6 +157,11 @@
   private Outcome placeGang(
       Job job, List<Machine> machines, Map<String, Integer> zones, Moment now) {
     int missing = job.pendingCount();
+    if (job.activeCount() > 0) {
+      // What is left of a broken gang ends first; then all start again together.
+      disband(job);
+      return Outcome.LIMITED;
+    }
     if (!quota.allows(job, missing)) {
       return Outcome.LIMITED;
     }
@@ -171,19 +177,30 @@
     if (found < missing) {
       return Outcome.NO_ROOM;
     }
+    Attempt attempt = fleet.nextAttempt();
     for (Machine machine : candidates(job, machines, zones)) {
       for (int i = shares.getOrDefault(machine, 0); i > 0; i--) {
         int index = job.nextPending(0, now);
         if (index < 0) {
           return Outcome.NO_ROOM;
         }
-        fleet.place(job, index, machine, now);
+        fleet.place(job, index, attempt, machine, now);
         placed++;
       }
     }
     return Outcome.ALL;
   }
 
+  private void disband(Job job) {
+    for (Machine machine : fleet.machines()) {
+      for (Placement placement : machine.placements()) {
+        if (placement.job() == job && !placement.halting()) {
+          fleet.halt(placement, job.spec().saveTime());
+        }
+      }
+    }
+  }
+
   private Machine pick(
       Job job, int index, List<Machine> machines, Map<String, Integer> zones, Moment now) {
     List<Machine> candidates = candidates(job, machines, zones);
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/Rules.java
@@ -0,0 +1,214 @@
+package org.oakwalk.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.port.Response;
+
+/**
+ * Checks every rule of the protocol against what the workers do and the users are told. It knows
+ * nothing of the controllers.
+ */
+final class Rules {
+  private record Place(SimWorker machine, JobSpec spec) {}
+
+  private final World world;
+  private final Map<TaskId, List<Place>> places = new HashMap<>();
+  private final Map<TaskId, Integer> starts = new HashMap<>();
+  private final Map<TaskId, Double> firstStart = new HashMap<>();
+  private final Set<TaskId> completed = new HashSet<>();
+  private final Map<JobId, Double> toldCancelled = new HashMap<>();
+  private final Map<JobId, Response.JobState> toldFinal = new HashMap<>();
+  private final Set<JobId> submitted = new HashSet<>();
+  private final Set<JobId> accepted = new HashSet<>();
+  private final Set<JobId> cancelAsked = new HashSet<>();
+  private final Map<JobId, Double> lastAnswer = new LinkedHashMap<>();
+  private final Map<String, String> broken = new LinkedHashMap<>();
+
+  Rules(World world) {
+    this.world = world;
+  }
+
+  /** Names of the broken rules. */
+  Set<String> broken() {
+    return new TreeSet<>(broken.keySet());
+  }
+
+  String details() {
+    return broken.toString();
+  }
+
+  private void breaks(String rule, String how) {
+    broken.putIfAbsent(rule, String.format("%.1f s: %s", world.time.seconds(), how));
+  }
+
+  int starts(TaskId task) {
+    return starts.getOrDefault(task, 0);
+  }
+
+  int totalStarts() {
+    return starts.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  Double firstStart(TaskId task) {
+    return firstStart.get(task);
+  }
+
+  long on(JobId job) {
+    return places.entrySet().stream()
+        .filter(e -> e.getKey().job().equals(job) && !e.getValue().isEmpty())
+        .count();
+  }
+
+  void started(SimWorker machine, TaskId task, JobSpec spec) {
+    List<Place> here = places.computeIfAbsent(task, t -> new ArrayList<>());
+    if (!here.isEmpty()) {
+      breaks("ran_twice", task + " on " + machine.id + " and " + here.get(0).machine().id);
+    }
+    here.add(new Place(machine, spec));
+    starts.merge(task, 1, Integer::sum);
+    firstStart.putIfAbsent(task, world.time.seconds());
+    checkPlace(machine, task, spec);
+    checkQuota(spec.team());
+    Double told = toldCancelled.get(task.job());
+    if (told != null && world.time.seconds() - told > cancelSeconds()) {
+      breaks("ran_cancelled", task + " starts on " + machine.id);
+    }
+  }
+
+  private double cancelSeconds() {
+    return world.settings.workers().cancel().asSeconds();
+  }
+
+  private void checkPlace(SimWorker machine, TaskId task, JobSpec spec) {
+    if (!spec.allows(machine.type.name(), machine.market.zone(), machine.market.spot())) {
+      breaks("wrong_place", task + " on " + machine.id);
+    }
+    Map<String, Integer> zones = new HashMap<>();
+    places.forEach(
+        (other, at) -> {
+          if (other.job().equals(task.job()) && !at.isEmpty()) {
+            zones.merge(at.get(0).machine().market.zone(), 1, Integer::sum);
+          }
+        });
+    if (spec.oneZone() && zones.size() > 1) {
+      breaks("wrong_place", task + " is in a second zone");
+    }
+    if (zones.getOrDefault(machine.market.zone(), 0) > spec.zoneLimit()) {
+      breaks("wrong_place", task + " is one too many in its zone");
+    }
+  }
+
+  private void checkQuota(String name) {
+    Settings.Team team = world.settings.teams().get(name);
+    Room use = Room.NONE;
+    for (List<Place> at : places.values()) {
+      for (Place place : at) {
+        if (place.spec().team().equals(name)) {
+          use = use.plus(place.spec().room());
+        }
+      }
+    }
+    if (team.cpusMax() > 0 && use.cpus() > team.cpusMax() + 1e-6
+        || team.gpusMax() > 0 && use.gpus() > team.gpusMax() + 1e-6) {
+      breaks("quota", name + " uses " + use);
+    }
+  }
+
+  void left(SimWorker machine, TaskId task) {
+    places.getOrDefault(task, new ArrayList<>()).removeIf(place -> place.machine() == machine);
+  }
+
+  void completed(TaskId task) {
+    completed.add(task);
+  }
+
+  /** To be called now and then: tasks of cancelled jobs must be gone in time. */
+  void tick() {
+    places.forEach(
+        (task, at) -> {
+          Double told = toldCancelled.get(task.job());
+          if (told != null
+              && !at.isEmpty()
+              && world.time.seconds() - told > cancelSeconds() + 0.1) {
+            breaks("ran_cancelled", task + " is still on " + at.get(0).machine().id);
+          }
+        });
+    lastAnswer.forEach(
+        (job, at) -> {
+          if (world.time.seconds() - at > 90) {
+            breaks("forgotten", job + " has had no answer for 90 s");
+          }
+        });
+  }
+
+  void submits(JobId job) {
+    submitted.add(job);
+  }
+
+  void asksToCancel(JobId job) {
+    cancelAsked.add(job);
+  }
+
+  Response.JobState told(JobId job) {
+    return toldFinal.get(job);
+  }
+
+  boolean accepted(JobId job) {
+    return accepted.contains(job);
+  }
+
+  /** A user has received an answer. */
+  void told(JobId job, boolean submission, Response response) {
+    if (response instanceof Response.Problem problem) {
+      if (accepted.contains(job) && problem.status() == 404) {
+        breaks("forgotten", job + " is answered 404");
+      }
+      if (accepted.contains(job)
+          && submission
+          && (problem.status() == 400 || problem.status() == 422)) {
+        breaks("forgotten", job + " is answered " + problem.status());
+      }
+      return;
+    }
+    Response.JobStatus status = (Response.JobStatus) response;
+    if (!submitted.contains(job)) {
+      breaks("invented", job + " is answered 200");
+      return;
+    }
+    accepted.add(job);
+    lastAnswer.put(job, world.time.seconds());
+    Response.JobState before = toldFinal.get(job);
+    if (before != null && before != status.state()) {
+      breaks("went_back", job + " was " + before + " and is " + status.state());
+    }
+    if (status.state() == Response.JobState.DONE) {
+      toldFinal.put(job, status.state());
+      lastAnswer.remove(job);
+      JobSpec spec = world.specs.get(job);
+      for (int i = 0; i < spec.tasks(); i++) {
+        if (!completed.contains(new TaskId(job, i))) {
+          breaks("not_done", job + " is called done, task " + i + " is not");
+          break;
+        }
+      }
+    } else if (status.state() == Response.JobState.CANCELLED) {
+      toldFinal.put(job, status.state());
+      toldCancelled.putIfAbsent(job, world.time.seconds());
+      lastAnswer.remove(job);
+      if (!cancelAsked.contains(job)) {
+        breaks("went_back", job + " is called cancelled although nobody asked");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -0,0 +1,364 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Priority;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.port.Response;
+
+/**
+ * Reads a scenario and plays it. The lines are described in src/test/resources/scenarios/README.
+ */
+final class Scenario {
+  private final List<Words> lines = new ArrayList<>();
+  private final List<String> failures = new ArrayList<>();
+  private World world;
+  private Set<String> expectedBroken = new TreeSet<>();
+
+  Scenario(String text) {
+    text.lines()
+        .map(line -> line.contains("#") ? line.substring(0, line.indexOf('#')) : line)
+        .filter(line -> !line.isBlank())
+        .forEach(line -> lines.add(new Words(line)));
+  }
+
+  void play() {
+    Words base =
+        lines.stream()
+            .filter(l -> l.word(0).equals("settings"))
+            .findFirst()
+            .orElse(new Words("settings"));
+    world = new World(settings(base), (int) base.number("nodes", 3));
+    double end = 60;
+    for (Words line : lines) {
+      switch (line.word(0)) {
+        case "settings", "team" -> {}
+        case "type" -> type(line);
+        case "capacity" -> capacity(line);
+        case "machine" -> machines(line);
+        case "at" -> world.time.at(line.number(1), () -> act(line));
+        case "end" -> end = line.number(1);
+        case "broken" -> {
+          for (int i = 1; i < line.size(); i++) {
+            expectedBroken.add(line.word(i));
+          }
+        }
+        default -> throw new IllegalArgumentException("unknown line: " + line);
+      }
+    }
+    world.begin();
+    world.time.runUntil(end);
+    assertThat(failures).isEmpty();
+    assertThat(world.rules.broken()).as(world.rules.details()).isEqualTo(expectedBroken);
+  }
+
+  private Settings settings(Words base) {
+    Map<String, Settings.Team> teams = new LinkedHashMap<>();
+    for (Words line : lines) {
+      if (line.word(0).equals("team")) {
+        teams.put(
+            line.word(1),
+            new Settings.Team(line.word(1), line.number("cpus", 0), line.number("max", 0), 0, 0));
+      }
+    }
+    if (teams.isEmpty()) {
+      teams.put("crew", new Settings.Team("crew", 0, 0, 0, 0));
+    }
+    return new Settings(
+        new NodeId("none"),
+        "none",
+        List.of(),
+        List.of(base.text("zones", "a").split(",")),
+        teams,
+        List.of(),
+        new Settings.Workers(
+            Span.seconds(base.number("report", 2)),
+            Span.seconds(base.number("lease", 10)),
+            Span.seconds(base.number("cancel", 40))),
+        new Settings.StateLimits(
+            base.number("rps", 200), base.number("write_rps", 100), 4, (int) base.number("txn", 8)),
+        new Settings.CloudLimits(5, Span.seconds(base.number("lag", 5))));
+  }
+
+  private void type(Words line) {
+    world.cloud.types.put(
+        line.word(1),
+        new MachineType(
+            line.word(1),
+            new Room(line.number("cpus", 4), line.number("gpus", 0), line.number("mem", 16)),
+            line.number("cache", 50),
+            line.number("fetch", 1),
+            line.number("price", 1),
+            line.number("spot", 0.3),
+            Span.seconds(line.number("boot", 20)),
+            List.copyOf(world.settings.zones())));
+  }
+
+  private void capacity(Words line) {
+    world.cloud.capacity.put(market(line, false), (int) line.number(3));
+    world.cloud.capacity.put(market(line, true), (int) line.number("spot", 0));
+  }
+
+  private static SimCloud.Market market(Words line, boolean spot) {
+    return new SimCloud.Market(line.word(1), line.word(2), spot);
+  }
+
+  private void machines(Words line) {
+    for (int i = 0; i < line.number(3); i++) {
+      world.cloud.create(market(line, line.has("spot")), 0);
+    }
+  }
+
+  /** Plays one line that begins with {@code at SECONDS}. */
+  private void act(Words line) {
+    switch (line.word(2)) {
+      case "submit" -> submit(line);
+      case "cancel" -> world.users.get(new JobId(line.word(3))).cancel();
+      case "crash" -> nodes(line.word(3)).forEach(SimNode::crash);
+      case "restart" ->
+          nodes(line.word(3))
+              .forEach(
+                  node -> {
+                    node.crash();
+                    node.start();
+                  });
+      case "refuse" -> nodes(line.word(3)).forEach(node -> node.refuse(line.number("for", 10)));
+      case "outage" -> {
+        if (line.word(3).equals("state")) {
+          world.state.outage(line.number("for", 10));
+        } else {
+          world.cloud.outage(line.number("for", 10));
+        }
+      }
+      case "cut" ->
+          world.network.cut(
+              group(line.word(3)), group(line.word(4)), line.number("for", 10), line.has("hold"));
+      case "die" -> worker(line.word(3)).die();
+      case "take" -> world.cloud.remove(new MachineId(line.word(3)));
+      case "hang" -> worker(line.word(3)).hang(line.number("for", 10));
+      case "notice" -> worker(line.word(3)).notice(line.number("in", 10));
+      case "faulty" -> worker(line.word(3)).faulty();
+      case "slow" -> worker(line.word(3)).slow(line.number("factor", 3));
+      case "failboots" -> world.cloud.failBoots((int) line.number(3));
+      case "limit" ->
+          world.cloud.capacity.put(
+              new SimCloud.Market(line.word(3), line.word(4), line.has("spot")),
+              (int) line.number(5));
+      case "rogue" -> rogue(line);
+      case "lie" -> lie(line);
+      case "expect" -> expect(line);
+      default -> throw new IllegalArgumentException("unknown action: " + line);
+    }
+  }
+
+  private void submit(Words line) {
+    JobId id = new JobId(line.word(3));
+    String due = line.text("due", "");
+    JobSpec spec =
+        new JobSpec(
+            id,
+            line.text("class", line.word(4)),
+            line.text("team", world.settings.teams().keySet().iterator().next()),
+            JobSpec.Shape.valueOf(line.word(4).toUpperCase(java.util.Locale.ROOT)),
+            Priority.valueOf(line.text("priority", "normal").toUpperCase(java.util.Locale.ROOT)),
+            (int) line.number("tasks", 1),
+            new Room(line.number("cpus", 1), line.number("gpus", 0), line.number("mem", 1)),
+            Set.of(),
+            Optional.ofNullable(line.text("zone", null)),
+            line.has("onezone"),
+            line.has("spread"),
+            line.has("spot"),
+            line.text("image", "img"),
+            line.number("gb", 0),
+            Span.seconds(line.number("guess", line.number("run", 0))),
+            Span.seconds(0),
+            Span.seconds(0),
+            due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
+    if (world.users.containsKey(id)) {
+      world.users.get(id).submit();
+      return;
+    }
+    world.specs.put(id, spec);
+    if (line.has("fails")) {
+      world.failing.add(id);
+    }
+    world.runSeconds.put(id, line.number("run", 5));
+    SimUser user = new SimUser(world, spec);
+    world.users.put(id, user);
+    user.submit();
+  }
+
+  private List<SimNode> nodes(String name) {
+    return switch (name) {
+      case "all" -> world.nodes;
+      case "down" -> world.nodes.stream().filter(node -> !node.up()).toList();
+      case "leader" -> List.of(leader());
+      case "followers" -> world.nodes.stream().filter(node -> node != leader()).toList();
+      default -> List.of(world.node(new NodeId(name)));
+    };
+  }
+
+  private SimNode leader() {
+    return world.leader().orElseThrow(() -> new AssertionError("nobody leads"));
+  }
+
+  private SimWorker worker(String name) {
+    if (name.startsWith("of:")) {
+      TaskId task = TaskId.parse(name.substring(3)).orElseThrow();
+      return world.workers.values().stream()
+          .filter(w -> w.tasks.containsKey(task) && !w.tasks.get(task).ended())
+          .findFirst()
+          .orElseThrow(() -> new AssertionError(task + " is nowhere"));
+    }
+    return world.workers.get(new MachineId(name));
+  }
+
+  /** Hosts by name, or: leader, followers, nodes, workers, state, zone:Z (all in a zone). */
+  private Predicate<String> group(String name) {
+    if (name.startsWith("zone:")) {
+      String zone = name.substring(5);
+      return host ->
+          world.workerAt(host).map(w -> w.market.zone().equals(zone)).orElse(false)
+              || world.nodes.stream()
+                  .anyMatch(n -> n.id.value().equals(host) && n.zone.equals(zone));
+    }
+    if (name.startsWith("of:")) {
+      String address = worker(name).address();
+      return address::equals;
+    }
+    Set<String> nodeNames = new TreeSet<>();
+    switch (name) {
+      case "leader", "followers" -> nodes(name).forEach(n -> nodeNames.add(n.id.value()));
+      case "nodes" -> world.nodes.forEach(n -> nodeNames.add(n.id.value()));
+      default -> {}
+    }
+    return switch (name) {
+      case "leader", "followers", "nodes" -> nodeNames::contains;
+      case "workers" -> host -> world.workerAt(host).isPresent();
+      default -> name::equals;
+    };
+  }
+
+  /** Somebody who holds the token but keeps no rule; shows that the checker sees it. */
+  private void rogue(Words line) {
+    TaskId task = TaskId.parse(line.word(3)).orElseThrow();
+    SimWorker worker = worker(line.word(4));
+    Token token = new Token(Long.MAX_VALUE >> 30);
+    worker.command(
+        new Request.Command(
+            worker.address(), token, SessionId.FIRST, List.of(new Order.Run(task, new Attempt(1)))),
+        answer -> {});
+  }
+
+  private void lie(Words line) {
+    JobId job = new JobId(line.word(3));
+    Response answer =
+        line.word(4).equals("404")
+            ? Response.refusal(404, "lie")
+            : new Response.JobStatus(
+                false,
+                job,
+                Response.JobState.valueOf(line.word(4).toUpperCase(java.util.Locale.ROOT)),
+                0,
+                0);
+    world.rules.told(job, false, answer);
+  }
+
+  private void expect(Words line) {
+    String failure = String.format("%.0f s: expected %s", world.time.seconds(), line);
+    if (!holds(line)) {
+      failures.add(failure + " (" + found(line) + ")");
+    }
+  }
+
+  private String found(Words line) {
+    JobId job = new JobId(line.word(3));
+    return "on machines "
+        + world.rules.on(job)
+        + ", told "
+        + world.rules.told(job)
+        + ", starts "
+        + world.rules.totalStarts()
+        + ", refusals "
+        + world.refusals
+        + ", machines "
+        + world.workers.values().stream().filter(SimWorker::alive).count()
+        + ", rented "
+        + world.cloud.rented;
+  }
+
+  private boolean holds(Words line) {
+    String what = line.word(3);
+    switch (what) {
+      case "leader" -> {
+        return world.leader().isPresent() == !line.has("none");
+      }
+      case "machines" -> {
+        long up = world.workers.values().stream().filter(SimWorker::alive).count();
+        return up >= line.number("least", 0) && up <= line.number("most", 1e9);
+      }
+      case "rented" -> {
+        return world.cloud.rented <= line.number("most", 1e9)
+            && world.cloud.rented >= line.number("least", 0);
+      }
+      case "starts" -> {
+        return world.rules.totalStarts() >= line.number("least", 0)
+            && world.rules.totalStarts() <= line.number("most", 1e9);
+      }
+      case "refusals" -> {
+        return world.refusals <= line.number("most", 0);
+      }
+      case "writes" -> {
+        return world.state.writes() <= line.number("most", 1e9);
+      }
+      default -> {
+        return jobHolds(new JobId(what), line);
+      }
+    }
+  }
+
+  private boolean jobHolds(JobId job, Words line) {
+    SimUser user = world.users.get(job);
+    return switch (line.word(4)) {
+      case "done" -> world.rules.told(job) == Response.JobState.DONE;
+      case "open" -> world.rules.accepted(job) && world.rules.told(job) == null;
+      case "cancelled" -> world.rules.told(job) == Response.JobState.CANCELLED;
+      case "on" ->
+          world.rules.on(job) >= line.number("least", 0)
+              && world.rules.on(job) <= line.number("most", 1e9);
+      case "accepted" ->
+          user.acceptedAfter != null && user.acceptedAfter <= line.number("within", 60);
+      case "refused" -> user.refusedWith != null && user.refusedWith == (int) line.number(5);
+      case "started" -> {
+        Double at = world.rules.firstStart(new TaskId(job, (int) line.number("task", 0)));
+        yield at != null && at <= line.number("by", 1e9) && at >= line.number("after", 0);
+      }
+      case "starts" -> {
+        int starts = world.rules.starts(new TaskId(job, (int) line.number("task", 0)));
+        yield starts >= line.number("least", 0) && starts <= line.number("most", 1e9);
+      }
+      default -> throw new IllegalArgumentException("unknown expectation: " + line);
+    };
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/SimCloud.java
@@ -0,0 +1,130 @@
+package org.oakwalk.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.oakwalk.core.AskId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.fleet.Rental;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Request;
+
+/** Stand-in for the cloud, after its published protocol. */
+final class SimCloud {
+  /** A place where machines of one sort can be had. */
+  record Market(String type, String zone, boolean spot) {}
+
+  private static final long DEATH_SHOWS = 30_000;
+
+  private final World world;
+  final Map<String, MachineType> types = new LinkedHashMap<>();
+  final Map<Market, Integer> capacity = new HashMap<>();
+  private final Map<MachineId, SimWorker> machines = new LinkedHashMap<>();
+  private final Map<AskId, List<MachineId>> asks = new HashMap<>();
+  private final long lag;
+  private long downUntil;
+  private int numbers;
+  private int bootTrouble;
+  int rented;
+
+  SimCloud(World world, double lagSeconds) {
+    this.world = world;
+    this.lag = Math.round(lagSeconds * 1000);
+  }
+
+  void outage(double seconds) {
+    downUntil = world.time.now() + Math.round(seconds * 1000);
+  }
+
+  /** The next so many machines never come up. */
+  void failBoots(int count) {
+    bootTrouble = count;
+  }
+
+  SimWorker create(Market market, double bootSeconds) {
+    MachineId id = new MachineId(String.format("host-%06d", numbers++));
+    SimWorker worker = new SimWorker(world, id, types.get(market.type()), market);
+    machines.put(id, worker);
+    world.workers.put(id, worker);
+    if (bootTrouble > 0 && bootSeconds > 0) {
+      bootTrouble--;
+    } else {
+      world.time.after(Math.round(bootSeconds * 1000), worker::boot);
+    }
+    return worker;
+  }
+
+  void serve(Request.Cloud request, Consumer<Answer> then) {
+    if (world.time.now() < downUntil) {
+      then.accept(new Answer.Refused(503, "trouble"));
+    } else if (request instanceof Request.FetchCatalog) {
+      then.accept(new Answer.Catalog(types));
+    } else if (request instanceof Request.Rent rent) {
+      then.accept(rent(rent));
+    } else if (request instanceof Request.Release release) {
+      for (MachineId id : release.machines()) {
+        remove(id);
+      }
+      then.accept(new Answer.Ok());
+    } else if (request instanceof Request.ListRentals) {
+      then.accept(list());
+    }
+  }
+
+  /** The cloud takes a machine away. */
+  void remove(MachineId id) {
+    SimWorker worker = machines.get(id);
+    if (worker != null && worker.goneAt == Long.MAX_VALUE) {
+      worker.vanish();
+      capacity.merge(worker.market, 1, Integer::sum);
+    }
+  }
+
+  private Answer rent(Request.Rent rent) {
+    List<MachineId> known = asks.get(rent.ask());
+    if (known != null) {
+      return new Answer.Rented(known);
+    }
+    Market market = new Market(rent.type(), rent.zone(), rent.spot());
+    int count = Math.min(rent.count(), capacity.getOrDefault(market, 0));
+    if (count == 0) {
+      return new Answer.Refused(503, "no capacity");
+    }
+    capacity.merge(market, -count, Integer::sum);
+    List<MachineId> ids = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ids.add(create(market, types.get(rent.type()).boot().asSeconds()).id);
+    }
+    rented += count;
+    asks.put(rent.ask(), ids);
+    return new Answer.Rented(ids);
+  }
+
+  private Answer list() {
+    long moment = world.time.now() - lag;
+    List<Rental> rentals = new ArrayList<>();
+    for (SimWorker worker : machines.values()) {
+      if (worker.rentedAt <= moment && worker.goneAt > moment) {
+        Rental.Status status =
+            worker.diedAt + DEATH_SHOWS < moment
+                ? Rental.Status.FAILED
+                : worker.bootedAt <= moment ? Rental.Status.RUNNING : Rental.Status.BOOTING;
+        rentals.add(
+            new Rental(
+                worker.id,
+                worker.address(),
+                worker.type.name(),
+                worker.market.zone(),
+                worker.market.spot(),
+                status,
+                Span.millis(moment - worker.rentedAt)));
+      }
+    }
+    return new Answer.Rentals(rentals, false);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/SimNode.java
@@ -0,0 +1,166 @@
+package org.oakwalk.scenario;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.oakwalk.core.Controller;
+import org.oakwalk.core.ExchangeId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Policy;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Effect;
+import org.oakwalk.core.port.Event;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.port.UserRequest;
+
+/** A controller node in virtual time: the real core between stand-ins. */
+final class SimNode {
+  private static final long TICK = 50;
+  private static final long STATE_WAIT = 1200;
+  private static final long OTHER_WAIT = 3000;
+
+  private final World world;
+  final NodeId id;
+  final String zone;
+  private Controller controller;
+  private int life;
+  private boolean up;
+  private long exchanges;
+  private final Map<ExchangeId, Consumer<Response>> open = new HashMap<>();
+  private long refusedByStateUntil;
+
+  SimNode(World world, NodeId id, String zone) {
+    this.world = world;
+    this.id = id;
+    this.zone = zone;
+  }
+
+  boolean up() {
+    return up;
+  }
+
+  boolean leads() {
+    return controller.leads();
+  }
+
+  void start() {
+    life++;
+    up = true;
+    open.clear();
+    controller = new Controller(world.settingsOf(this), Policy.defaults(), id + "-life-" + life);
+    tick(life);
+  }
+
+  void crash() {
+    up = false;
+    open.clear();
+  }
+
+  /** The state service answers 503 to this node alone. */
+  void refuse(double seconds) {
+    refusedByStateUntil = world.time.now() + Math.round(seconds * 1000);
+  }
+
+  private void tick(int of) {
+    if (up && of == life) {
+      handle(new Event.Tick());
+      world.time.after(TICK, () -> tick(of));
+    }
+  }
+
+  private void handle(Event event) {
+    for (Effect effect :
+        controller.handle(event, new Moment(world.time.now()), new WallTime(world.time.now()))) {
+      if (effect instanceof Effect.Respond respond) {
+        Consumer<Response> then = open.remove(respond.exchange());
+        if (then != null) {
+          then.accept(respond.response());
+        }
+      } else if (effect instanceof Effect.Call call) {
+        call(call, life);
+      }
+    }
+  }
+
+  private void call(Effect.Call call, int of) {
+    boolean[] answered = new boolean[1];
+    Consumer<Answer> then =
+        answer -> {
+          if (!answered[0] && up && of == life) {
+            answered[0] = true;
+            handle(new Event.Answered(call.call(), answer));
+          }
+        };
+    Request request = call.request();
+    if (request instanceof Request.State state) {
+      long hold = state instanceof Request.Watch watch ? watch.hold().millis() : 0;
+      world.time.after(STATE_WAIT + hold, () -> then.accept(new Answer.Nothing("timeout")));
+      there(
+          "state",
+          back("state", then),
+          reply -> {
+            if (world.time.now() < refusedByStateUntil) {
+              reply.accept(new Answer.Refused(503, "refused"));
+            } else {
+              world.state.serve(state, reply);
+            }
+          });
+    } else if (request instanceof Request.Cloud cloud) {
+      world.time.after(OTHER_WAIT, () -> then.accept(new Answer.Nothing("timeout")));
+      there("cloud", back("cloud", then), reply -> world.cloud.serve(cloud, reply));
+    } else if (request instanceof Request.Command command) {
+      world.time.after(OTHER_WAIT, () -> then.accept(new Answer.Nothing("timeout")));
+      there(
+          command.address(),
+          back(command.address(), then),
+          reply -> world.workerAt(command.address()).ifPresent(w -> w.command(command, reply)));
+    } else if (request instanceof Request.Tell tell) {
+      world.time.after(STATE_WAIT, () -> then.accept(new Answer.Nothing("timeout")));
+      there(
+          tell.node().value(),
+          back(tell.node().value(), then),
+          reply -> {
+            SimNode peer = world.node(tell.node());
+            peer.take(
+                exchange -> new Event.PeerSays(exchange, tell.message()),
+                response -> {
+                  if (response instanceof Response.ToPeer toPeer) {
+                    reply.accept(new Answer.Told(toPeer.message()));
+                  }
+                });
+          });
+    }
+  }
+
+  private Consumer<Answer> back(String from, Consumer<Answer> then) {
+    return answer -> world.network.send(from, id.value(), () -> then.accept(answer));
+  }
+
+  private void there(String to, Consumer<Answer> reply, Consumer<Consumer<Answer>> serve) {
+    world.network.send(id.value(), to, () -> serve.accept(reply));
+  }
+
+  private void take(java.util.function.Function<ExchangeId, Event> event, Consumer<Response> then) {
+    if (up) {
+      ExchangeId exchange = new ExchangeId(++exchanges);
+      open.put(exchange, then);
+      handle(event.apply(exchange));
+    }
+  }
+
+  void report(Report report, Consumer<Response> then) {
+    take(exchange -> new Event.WorkerReports(exchange, report), then);
+  }
+
+  void ask(UserRequest request, Consumer<Response> then) {
+    take(exchange -> new Event.UserAsks(exchange, request), then);
+  }
+
+  void health(Consumer<Response> then) {
+    take(Event.HealthAsked::new, then);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/SimState.java
@@ -0,0 +1,208 @@
+package org.oakwalk.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.oakwalk.core.HoldId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.Entry;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.News;
+import org.oakwalk.core.store.StoredValue;
+
+/** Stand-in for the state service, after its published protocol. */
+final class SimState {
+  private static final int PAGE = 200;
+
+  private record Kept(StoredValue value, long stamp, Long hold) {}
+
+  private static final class Hold {
+    long ttl;
+    long end;
+  }
+
+  private record Watcher(Request.Watch request, Consumer<Answer> then, long[] end) {}
+
+  private final Timeline time;
+  private final TreeMap<String, Kept> keys = new TreeMap<>();
+  private final Map<Long, Hold> holds = new HashMap<>();
+  private final List<News> history = new ArrayList<>();
+  private final List<Watcher> watchers = new ArrayList<>();
+  private long epoch;
+  private long holdNumbers;
+  private long downUntil;
+  private int writes;
+
+  SimState(Timeline time) {
+    this.time = time;
+    time.after(50, this::tick);
+  }
+
+  int writes() {
+    return writes;
+  }
+
+  boolean down() {
+    return time.now() < downUntil;
+  }
+
+  /** After an outage every lease has its full time again. */
+  void outage(double seconds) {
+    downUntil = time.now() + Math.round(seconds * 1000);
+    holds.values().forEach(hold -> hold.end = downUntil + hold.ttl);
+  }
+
+  private void tick() {
+    if (!down()) {
+      List<Long> ended = new ArrayList<>();
+      holds.forEach(
+          (id, hold) -> {
+            if (hold.end < time.now()) {
+              ended.add(id);
+            }
+          });
+      ended.forEach(this::endHold);
+      for (Watcher watcher : List.copyOf(watchers)) {
+        if (watcher.end()[0] <= time.now()) {
+          watchers.remove(watcher);
+          watcher.then().accept(new Answer.Changes(new Revision(epoch), List.of()));
+        }
+      }
+    }
+    time.after(50, this::tick);
+  }
+
+  private void endHold(long id) {
+    holds.remove(id);
+    List<String> gone = new ArrayList<>();
+    keys.forEach(
+        (key, kept) -> {
+          if (kept.hold() != null && kept.hold() == id) {
+            gone.add(key);
+          }
+        });
+    if (!gone.isEmpty()) {
+      epoch++;
+      gone.forEach(this::remove);
+      wake();
+    }
+  }
+
+  private void remove(String key) {
+    keys.remove(key);
+    history.add(new News(key, Optional.empty(), new Revision(epoch)));
+  }
+
+  void serve(Request.State request, Consumer<Answer> then) {
+    if (down()) {
+      then.accept(new Answer.Refused(503, "down"));
+    } else if (request instanceof Request.ReadPage read) {
+      then.accept(page(read));
+    } else if (request instanceof Request.Watch watch) {
+      watch(watch, then);
+    } else if (request instanceof Request.Commit commit) {
+      then.accept(commit(commit));
+    } else if (request instanceof Request.Grant grant) {
+      Hold hold = new Hold();
+      hold.ttl = grant.ttl().millis();
+      hold.end = time.now() + hold.ttl;
+      holds.put(++holdNumbers, hold);
+      then.accept(new Answer.Granted(new HoldId(holdNumbers)));
+    } else if (request instanceof Request.Renew renew) {
+      Hold hold = holds.get(renew.hold().value());
+      if (hold == null) {
+        then.accept(new Answer.Refused(404, "no such lease"));
+      } else {
+        hold.end = time.now() + hold.ttl;
+        then.accept(new Answer.Ok());
+      }
+    } else if (request instanceof Request.Drop drop) {
+      endHold(drop.hold().value());
+      then.accept(new Answer.Ok());
+    }
+  }
+
+  private Answer page(Request.ReadPage read) {
+    List<Entry> entries = new ArrayList<>();
+    for (Map.Entry<String, Kept> entry :
+        keys.tailMap(read.after().orElse(read.prefix()), read.after().isEmpty()).entrySet()) {
+      if (!entry.getKey().startsWith(read.prefix())) {
+        break;
+      }
+      if (entries.size() == PAGE) {
+        return new Answer.Page(entries, true, new Revision(epoch));
+      }
+      Kept kept = entry.getValue();
+      entries.add(new Entry(entry.getKey(), kept.value(), new Revision(kept.stamp())));
+    }
+    return new Answer.Page(entries, false, new Revision(epoch));
+  }
+
+  private void watch(Request.Watch watch, Consumer<Answer> then) {
+    List<News> news = since(watch);
+    if (!news.isEmpty() || watch.hold().millis() == 0) {
+      then.accept(new Answer.Changes(new Revision(epoch), news));
+    } else {
+      watchers.add(new Watcher(watch, then, new long[] {time.now() + watch.hold().millis()}));
+    }
+  }
+
+  private List<News> since(Request.Watch watch) {
+    return history.stream()
+        .filter(
+            news ->
+                news.stamp().value() > watch.after().value()
+                    && news.key().startsWith(watch.prefix()))
+        .toList();
+  }
+
+  private Answer commit(Request.Commit commit) {
+    writes += commit.changes().size();
+    List<String> failed = new ArrayList<>();
+    for (Guard guard : commit.guards()) {
+      Kept kept = keys.get(guard.key());
+      if ((kept == null ? 0 : kept.stamp()) != guard.stamp().value()) {
+        failed.add(guard.key());
+      }
+    }
+    if (!failed.isEmpty()) {
+      return new Answer.Conflict(failed);
+    }
+    for (Change change : commit.changes()) {
+      if (change instanceof Change.Put put
+          && put.hold().isPresent()
+          && !holds.containsKey(put.hold().get().value())) {
+        return new Answer.Refused(400, "no such lease");
+      }
+    }
+    epoch++;
+    for (Change change : commit.changes()) {
+      if (change instanceof Change.Put put) {
+        keys.put(
+            put.key(), new Kept(put.value(), epoch, put.hold().map(HoldId::value).orElse(null)));
+        history.add(new News(put.key(), Optional.of(put.value()), new Revision(epoch)));
+      } else if (change instanceof Change.Remove remove) {
+        remove(remove.key());
+      }
+    }
+    wake();
+    return new Answer.Committed(new Revision(epoch));
+  }
+
+  private void wake() {
+    for (Watcher watcher : List.copyOf(watchers)) {
+      List<News> news = since(watcher.request());
+      if (!news.isEmpty()) {
+        watchers.remove(watcher);
+        watcher.then().accept(new Answer.Changes(new Revision(epoch), news));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/SimUser.java
@@ -0,0 +1,108 @@
+package org.oakwalk.scenario;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.port.UserRequest;
+
+/** A user with one job: submits, polls, and perhaps cancels, asking again where that helps. */
+final class SimUser {
+  private static final long POLL = 5000;
+  private static final double GIVES_UP = 60;
+
+  private final World world;
+  private final JobSpec spec;
+  private final JobId job;
+  private final double began;
+  private boolean polling;
+  Double acceptedAfter;
+  Integer refusedWith;
+
+  SimUser(World world, JobSpec spec) {
+    this.world = world;
+    this.spec = spec;
+    this.job = spec.id();
+    this.began = world.time.seconds();
+  }
+
+  void submit() {
+    world.rules.submits(job);
+    repeat(
+        new UserRequest.Submit(job, Optional.of(spec), ""),
+        world.time.seconds(),
+        response -> {
+          if (response instanceof Response.JobStatus && acceptedAfter == null) {
+            acceptedAfter = world.time.seconds() - began;
+            if (!polling) {
+              polling = true;
+              poll();
+            }
+          }
+          if (response instanceof Response.Problem problem && problem.status() < 429) {
+            refusedWith = problem.status();
+            return true;
+          }
+          return response instanceof Response.JobStatus;
+        });
+  }
+
+  void cancel() {
+    world.rules.asksToCancel(job);
+    repeat(
+        new UserRequest.Withdraw(job),
+        world.time.seconds(),
+        response ->
+            response instanceof Response.JobStatus
+                || response instanceof Response.Problem problem && problem.status() == 404);
+  }
+
+  private void repeat(UserRequest request, double since, Predicate<Response> settled) {
+    if (world.time.seconds() - since > GIVES_UP) {
+      return;
+    }
+    ask(
+        request,
+        response -> {
+          if (response == null || !settled.test(response)) {
+            world.time.after(1000, () -> repeat(request, since, settled));
+          }
+        });
+  }
+
+  private void poll() {
+    ask(
+        new UserRequest.Query(job),
+        response -> {
+          if (world.rules.told(job) == null) {
+            world.time.after(POLL, this::poll);
+          }
+        });
+  }
+
+  /** Asks some node; calls back once, with null if no answer comes. */
+  private void ask(UserRequest request, java.util.function.Consumer<Response> then) {
+    Optional<SimNode> node = world.someNode();
+    boolean[] over = new boolean[1];
+    world.time.after(
+        5000,
+        () -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.accept(null);
+          }
+        });
+    node.ifPresent(
+        chosen ->
+            chosen.ask(
+                request,
+                response -> {
+                  if (!over[0]) {
+                    over[0] = true;
+                    world.rules.told(job, request instanceof UserRequest.Submit, response);
+                    then.accept(response);
+                  }
+                }));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/Words.java
@@ -0,0 +1,57 @@
+package org.oakwalk.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A line of a scenario: plain words, and settings of the form {@code name=value}. */
+final class Words {
+  private final String line;
+  private final List<String> plain = new ArrayList<>();
+  private final Map<String, String> settings = new HashMap<>();
+
+  Words(String line) {
+    this.line = line;
+    for (String word : line.trim().split("\\s+")) {
+      int equals = word.indexOf('=');
+      if (equals > 0) {
+        settings.put(word.substring(0, equals), word.substring(equals + 1));
+      } else {
+        plain.add(word);
+      }
+    }
+  }
+
+  String word(int index) {
+    if (index >= plain.size()) {
+      throw new IllegalArgumentException("too short: " + line);
+    }
+    return plain.get(index);
+  }
+
+  int size() {
+    return plain.size();
+  }
+
+  boolean has(String word) {
+    return plain.contains(word);
+  }
+
+  double number(int index) {
+    return Double.parseDouble(word(index));
+  }
+
+  String text(String name, String otherwise) {
+    return settings.getOrDefault(name, otherwise);
+  }
+
+  double number(String name, double otherwise) {
+    return settings.containsKey(name) ? Double.parseDouble(settings.get(name)) : otherwise;
+  }
+
+  @Override
+  public String toString() {
+    return line;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/World.java
@@ -0,0 +1,102 @@
+package org.oakwalk.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.job.JobSpec;
+
+/** All that takes part in a scenario. */
+final class World {
+  final Timeline time = new Timeline();
+  final Network network = new Network(time);
+  final Rules rules = new Rules(this);
+  final SimState state;
+  final SimCloud cloud;
+  final Settings settings;
+  final List<SimNode> nodes = new ArrayList<>();
+  final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
+  final Map<JobId, JobSpec> specs = new HashMap<>();
+  final Map<JobId, Double> runSeconds = new HashMap<>();
+  final Map<JobId, SimUser> users = new LinkedHashMap<>();
+  final Set<JobId> failing = new HashSet<>();
+  int refusals;
+  private int turn;
+
+  World(Settings settings, int nodeCount) {
+    this.settings = settings;
+    this.state = new SimState(time);
+    this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
+    for (int i = 0; i < nodeCount; i++) {
+      String zone = settings.zones().get(i % settings.zones().size());
+      nodes.add(new SimNode(this, new NodeId("node-" + i), zone));
+    }
+  }
+
+  void begin() {
+    for (SimNode node : nodes) {
+      time.after(10L * nodes.indexOf(node), node::start);
+    }
+    time.after(500, this::check);
+  }
+
+  private void check() {
+    rules.tick();
+    time.after(500, this::check);
+  }
+
+  Settings settingsOf(SimNode node) {
+    List<NodeId> peers = nodes.stream().map(n -> n.id).filter(id -> !id.equals(node.id)).toList();
+    return new Settings(
+        node.id,
+        node.zone,
+        peers,
+        settings.zones(),
+        settings.teams(),
+        settings.objectives(),
+        settings.workers(),
+        settings.state(),
+        settings.cloud());
+  }
+
+  SimNode node(NodeId id) {
+    return nodes.get(indexOf(id));
+  }
+
+  int indexOf(NodeId id) {
+    for (int i = 0; i < nodes.size(); i++) {
+      if (nodes.get(i).id.equals(id)) {
+        return i;
+      }
+    }
+    throw new IllegalArgumentException("no node " + id);
+  }
+
+  Optional<SimWorker> workerAt(String address) {
+    return Optional.ofNullable(workers.get(new MachineId(address)));
+  }
+
+  /** The node that the load balancer would take: they take turns. */
+  Optional<SimNode> someNode() {
+    for (int i = 0; i < nodes.size(); i++) {
+      SimNode node = nodes.get(turn++ % nodes.size());
+      if (node.up()) {
+        return Optional.of(node);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** The node that a reporting worker would be answered by; empty if none leads. */
+  Optional<SimNode> leader() {
+    return nodes.stream().filter(SimNode::up).filter(SimNode::leads).findFirst();
+  }
+}
