--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -258,9 +258,7 @@
       Need need = needs.getOrDefault(type.name(), new Need(0, 0));
       double peak = Math.max(need.total(), peaks.getOrDefault(type.name(), 0.0) * fade);
       peaks.put(type.name(), peak);
-      if (peak > 0) {
-        adjust(type, need, peak, now);
-      }
+      adjust(type, need, peak, now);
     }
   }
 
@@ -300,8 +298,12 @@
         idle.add(machine);
       }
     }
-    int wanted = (int) Math.ceil(peak * (1 + policy.headroom())) + policy.spareMachines();
-    int wantedOrdinary = (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
+    // With nothing to do at all, the spare machines go as well.
+    boolean idleAll = need.total() <= 0;
+    int wanted =
+        idleAll ? 0 : (int) Math.ceil(peak * (1 + policy.headroom())) + policy.spareMachines();
+    int wantedOrdinary =
+        idleAll ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
     int missing = wanted - ordinary - spot;
     if (missing > 0) {
       int flexible = Math.max(0, wanted - wantedOrdinary);
--- a/src/main/java/org/oakwalk/wire/Pack.java
+++ b/src/main/java/org/oakwalk/wire/Pack.java
@@ -9,6 +9,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Trees to bytes and back, in the two encodings that go over the network. */
@@ -27,9 +29,29 @@
   }
 
   static ObjectNode messagePackMap(byte[] bytes) throws BadMessage {
+    refuseBinary(bytes);
     return readMap(MESSAGE_PACK, bytes, "MessagePack");
   }
 
+  /**
+   * The protocol has nothing binary, and the parser reserves as much memory for it as its header
+   * claims: twenty bytes from anybody would end the process.
+   */
+  private static void refuseBinary(byte[] bytes) throws BadMessage {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      while (unpacker.hasNext()) {
+        switch (unpacker.getNextFormat().getValueType()) {
+          case BINARY, EXTENSION -> throw new BadMessage("binary value");
+          case ARRAY -> unpacker.unpackArrayHeader();
+          case MAP -> unpacker.unpackMapHeader();
+          default -> unpacker.skipValue();
+        }
+      }
+    } catch (IOException | RuntimeException e) {
+      throw new BadMessage("not MessagePack");
+    }
+  }
+
   static byte[] cbor(JsonNode tree) {
     return write(CBOR, tree);
   }
--- /dev/null
+++ b/src/test/java/org/oakwalk/ArchitectureTest.java
@@ -0,0 +1,86 @@
+package org.oakwalk;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The borders between the parts. */
+@AnalyzeClasses(packages = "org.oakwalk", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+  @ArchTest
+  static final ArchRule CORE_STANDS_ALONE =
+      noClasses()
+          .that()
+          .resideInAPackage("org.oakwalk.core..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.oakwalk.wire..",
+              "org.oakwalk.adapter..",
+              "org.oakwalk.daemon..",
+              "org.oakwalk.cli..",
+              "org.eclipse.jetty..",
+              "com.fasterxml..",
+              "org.msgpack..",
+              "java.io..",
+              "java.net..",
+              "java.nio..",
+              "java.util.concurrent..");
+
+  @ArchTest
+  static final ArchRule CORE_HAS_NO_CLOCK_OR_CHANCE =
+      noClasses()
+          .that()
+          .resideInAPackage("org.oakwalk.core..")
+          .should()
+          .callMethod(System.class, "currentTimeMillis")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.Thread")
+          .orShould()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.util.Random")
+          .orShould()
+          .dependOnClassesThat()
+          .resideInAnyPackage("java.time..", "org.apache.commons.rng..");
+
+  @ArchTest
+  static final ArchRule WIRE_KNOWS_ONLY_THE_CORE =
+      noClasses()
+          .that()
+          .resideInAPackage("org.oakwalk.wire..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.oakwalk.adapter..",
+              "org.oakwalk.daemon..",
+              "org.oakwalk.cli..",
+              "org.eclipse.jetty..");
+
+  @ArchTest
+  static final ArchRule ADAPTERS_DO_NOT_KNOW_WHO_RUNS_THEM =
+      noClasses()
+          .that()
+          .resideInAPackage("org.oakwalk.adapter..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("org.oakwalk.daemon..", "org.oakwalk.cli..", "com.fasterxml..");
+
+  @ArchTest
+  static final ArchRule MESSAGES_ARE_PLAIN =
+      noClasses()
+          .that()
+          .resideInAPackage("org.oakwalk.core.port..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.oakwalk.core.leadership..",
+              "org.oakwalk.core.placement..",
+              "org.oakwalk.core.capacity..",
+              "org.oakwalk.core.recovery..");
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/daemon/NodeTest.java
@@ -0,0 +1,128 @@
+package org.oakwalk.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.oakwalk.core.Policy;
+
+/**
+ * A whole node on loopback. The state service and the cloud behind it answer every request with
+ * 503, so all that a node says without them can be checked without waiting for anything.
+ */
+class NodeTest {
+  private static final ObjectMapper PACK = new ObjectMapper(new MessagePackFactory());
+
+  @TempDir private Path folder;
+  private final HttpClient client = HttpClient.newHttpClient();
+  private HttpServer outside;
+  private Daemon node;
+
+  @BeforeEach
+  void start() throws Exception {
+    outside = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    outside.createContext(
+        "/",
+        exchange -> {
+          exchange.sendResponseHeaders(503, -1);
+          exchange.close();
+        });
+    outside.start();
+    String there = "127.0.0.1:" + outside.getAddress().getPort() + "\"";
+    String toml = SettingsTest.TOML.replace("127.0.0.1:1\"", there).replace("127.0.0.1:2\"", there);
+    Path file = Files.writeString(folder.resolve("settings.toml"), toml);
+    node = new Daemon(PlatformSettings.read(file), Policy.defaults());
+  }
+
+  @AfterEach
+  void stop() {
+    node.close();
+    outside.stop(0);
+  }
+
+  private HttpResponse<byte[]> send(String method, String path, byte[] body) throws Exception {
+    return client.send(
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + node.frontPort() + path))
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofByteArray(body))
+            .build(),
+        HttpResponse.BodyHandlers.ofByteArray());
+  }
+
+  private int status(String method, String path) throws Exception {
+    return send(method, path, null).statusCode();
+  }
+
+  @Test
+  void refusesWhatHasNoPlace() throws Exception {
+    assertThat(status("GET", "/nowhere")).isEqualTo(404);
+    assertThat(status("GET", "/v2/runs/j-1/other")).isEqualTo(404);
+    assertThat(status("GET", "/v2/runs")).isEqualTo(405);
+    assertThat(status("DELETE", "/v2/runs/j-1")).isEqualTo(405);
+    assertThat(status("GET", "/v2/runs/j-1/withdraw")).isEqualTo(405);
+    assertThat(status("POST", "/ready")).isEqualTo(405);
+    assertThat(status("GET", "/v2/runs/x")).isEqualTo(404);
+  }
+
+  @Test
+  void refusesWhatIsMalformed() throws Exception {
+    byte[] noise = "hello".getBytes(StandardCharsets.UTF_8);
+    assertThat(send("POST", "/v2/runs", noise).statusCode()).isEqualTo(400);
+    assertThat(send("POST", "/hello", noise).statusCode()).isEqualTo(400);
+  }
+
+  @Test
+  void refusesALargeBodyWithoutReadingItAll() throws Exception {
+    try (Socket socket = new Socket("127.0.0.1", node.frontPort())) {
+      StringBuilder text =
+          new StringBuilder(
+              "POST /v2/runs HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+      for (int i = 0; i < 17; i++) {
+        text.append("1000\r\n").append("x".repeat(4096)).append("\r\n");
+      }
+      socket.getOutputStream().write(text.toString().getBytes(StandardCharsets.UTF_8));
+      byte[] answer = socket.getInputStream().readNBytes(12);
+      assertThat(new String(answer, StandardCharsets.UTF_8)).isEqualTo("HTTP/1.1 400");
+    }
+  }
+
+  @Test
+  void sendsUsersAwayWhileTheStateServiceIsGone() throws Exception {
+    HttpResponse<byte[]> answer = send("GET", "/v2/runs/j-000001", null);
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).contains("1");
+    assertThat(status("POST", "/v2/runs/j-000001/withdraw")).isEqualTo(503);
+    assertThat(status("GET", "/ready")).isEqualTo(503);
+  }
+
+  @Test
+  void sendsWorkersAwayWhileNobodyLeads() throws Exception {
+    byte[] report =
+        PACK.writeValueAsBytes(
+            new ObjectMapper()
+                .readTree(
+                    "{\"host\":\"host-1\",\"addr\":\"127.0.0.1:1\",\"flavor\":\"g\","
+                        + "\"region\":\"a\",\"leftovers\":false,\"shift\":1,\"tick\":1,"
+                        + "\"baton\":0,\"pieces\":[]}"));
+    HttpResponse<byte[]> answer = send("POST", "/hello", report);
+    assertThat(answer.statusCode()).isEqualTo(421);
+    assertThat(PACK.readTree(answer.body()).has("boss")).isFalse();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -0,0 +1,301 @@
+package org.oakwalk.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.oakwalk.core.AskId;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.HoldId;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.port.UserRequest;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.StoredValue;
+
+/** Messages against literal bytes and the protocol's own examples. */
+class WireTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final TaskId TASK = new TaskId(new JobId("j-000412"), 4);
+
+  private static final String JOB =
+      """
+      {"ref":"j-000412","jobclass":"train","crew":"vision","shape":"sweep","urgency":"high",
+       "pieces":16,"vcpus":8.0,"accelerators":1.0,"memory_gb":64.0,"bundle":"img-07","size_gb":6.2,
+       "flavors":["g8"],"region":null,"same_place":true,"spread":false,"leftovers":true,
+       "guess_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0,"unknown":[1]}
+      """;
+
+  private static byte[] packed(String json) throws Exception {
+    return Pack.messagePack(JSON.readTree(json));
+  }
+
+  private static String json(byte[] bytes) throws Exception {
+    return Pack.messagePackMap(bytes).toString();
+  }
+
+  private static JobSpec spec() throws Exception {
+    return UserCodec.submission(packed(JOB)).spec().orElseThrow();
+  }
+
+  @Test
+  void ordersHaveTheseBytes() {
+    byte[] bytes =
+        WorkerCodec.orders(
+            new Token(41), List.of(new Order.Halt(TASK, new Attempt(2), Span.seconds(10))));
+    String literal =
+        "82" // a map of two
+            + "a56261746f6e29" // baton 41
+            + "a66f726465727391" // orders: a list of one
+            + "84" // a map of four
+            + "a476657262a468616c74" // verb halt
+            + "a57069656365aa6a2d3030303431322f34" // piece j-000412/4
+            + "a374727902" // try 2
+            + "ab77696e645f646f776e5f73cb4024000000000000"; // wind_down_s 10.0
+    assertThat(HexFormat.of().formatHex(bytes)).isEqualTo(literal);
+  }
+
+  @Test
+  void readsTheProtocolsReport() throws Exception {
+    Report report =
+        WorkerCodec.report(
+            packed(
+                """
+                {"host":"host-000231","addr":"10.1.0.232:9000","flavor":"g8","region":"a",
+                 "leftovers":true,"shift":1,"tick":88,"baton":41,"warning_s":null,
+                 "pieces":[{"piece":"j-000412/3","try":2,"status":"running"},
+                           {"piece":"j-000398/0","try":1,"status":"ended","cause":"done"},
+                           {"piece":"j-000398/1","try":1,"status":"ended","cause":"new kind"}]}
+                """));
+    assertThat(report.machine()).isEqualTo(new MachineId("host-000231"));
+    assertThat(report.session()).isEqualTo(new SessionId(1));
+    assertThat(report.notice()).isEmpty();
+    assertThat(report.pieces())
+        .extracting(Report.Piece::cause)
+        .containsExactly(null, Report.Cause.DONE, Report.Cause.OTHER);
+  }
+
+  @Test
+  void readsTheProtocolsJobAndStoresAllOfIt() throws Exception {
+    JobSpec spec = spec();
+    assertThat(spec.zone()).isEmpty();
+    assertThat(spec.due()).contains(Span.seconds(900));
+    JobRecord record = new JobRecord(spec, JobRecord.Phase.OPEN, new WallTime(5));
+    assertThat(StateCodec.value(new Fields(StateCodec.value(record)))).isEqualTo(record);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "pieces | 0",
+        "pieces | 100001",
+        "pieces | 2.5",
+        "pieces | \"3\"",
+        "vcpus | -1.0",
+        "vcpus | \"8\"",
+        "memory_gb | null",
+        "shape | \"swarm\"",
+        "urgency | 3",
+        "same_place | 1",
+        "bundle | \"\"",
+        "flavors | \"g8\"",
+        "flavors | [1]",
+        "guess_s | -0.5",
+        "due_s | \"soon\"",
+        "crew | null"
+      })
+  void namesTheFieldThatIsWrong(String field, String value) throws Exception {
+    ObjectNode job = (ObjectNode) JSON.readTree(JOB);
+    job.set(field, JSON.readTree(value));
+    UserRequest.Submit request = UserCodec.submission(Pack.messagePack(job));
+    assertThat(request.spec()).isEmpty();
+    assertThat(request.problem()).contains(field);
+  }
+
+  @Test
+  void refusesNotANumber() throws Exception {
+    ObjectNode job = (ObjectNode) JSON.readTree(JOB);
+    job.put("vcpus", Double.NaN);
+    assertThat(UserCodec.submission(Pack.messagePack(job)).spec()).isEmpty();
+  }
+
+  @Test
+  void refusesWhatIsNoMap() {
+    for (String hex :
+        List.of(
+            "",
+            "90",
+            "c1",
+            "a3",
+            "82a16101",
+            "8001",
+            "93010203",
+            "d9ff",
+            "81a161c6ffffffff",
+            "81a161c67fffffff",
+            "81a161c97fffffff01")) {
+      assertThatThrownBy(() -> UserCodec.submission(HexFormat.of().parseHex(hex)))
+          .as(hex)
+          .isInstanceOf(BadMessage.class);
+    }
+    assertThatThrownBy(() -> UserCodec.submission(packed("{\"ref\":\"job-1\"}")))
+        .hasMessageContaining("ref");
+  }
+
+  @Test
+  void mutatedBytesGiveAnAnswerOrBadMessageOnly() throws Exception {
+    UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(7L);
+    byte[] good = packed(JOB);
+    byte[] peer = PeerCodec.encode(digest());
+    for (int i = 0; i < 4_000; i++) {
+      byte[] bad = (i % 2 == 0 ? good : peer).clone();
+      for (int k = 1 + chance.nextInt(4); k > 0; k--) {
+        bad[chance.nextInt(bad.length)] = (byte) chance.nextInt();
+      }
+      try {
+        if (i % 2 == 0) {
+          UserCodec.submission(bad);
+          WorkerCodec.report(bad);
+        } else {
+          PeerCodec.decode(bad);
+        }
+      } catch (BadMessage expected) {
+        assertThat(expected.getMessage()).isNotBlank();
+      }
+    }
+  }
+
+  private static PeerMessage.Digest digest() {
+    return new PeerMessage.Digest(
+        new NodeId("n"), new Token(3), Map.of(new JobId("j-1"), new PeerMessage.Counts(2, 5)));
+  }
+
+  @Test
+  void peersUnderstandEachOther() throws Exception {
+    List<PeerMessage> messages =
+        List.of(
+            digest(),
+            new PeerMessage.Acknowledged(new NodeId("n"), true),
+            new PeerMessage.Forward(new UserRequest.Query(new JobId("j-1"))),
+            new PeerMessage.Forward(new UserRequest.Withdraw(new JobId("j-1"))),
+            new PeerMessage.Forward(
+                new UserRequest.Submit(new JobId("j-000412"), Optional.of(spec()), "")),
+            new PeerMessage.Forwarded(Response.unavailable("later", Span.seconds(1))),
+            new PeerMessage.Forwarded(
+                new Response.JobStatus(true, new JobId("j-1"), Response.JobState.RUNNING, 1, 2)));
+    for (PeerMessage message : messages) {
+      assertThat(PeerCodec.decode(PeerCodec.encode(message))).isEqualTo(message);
+    }
+  }
+
+  @Test
+  void asksTheStateServiceAsThePageSays() throws Exception {
+    HttpMessage commit =
+        StateCodec.encode(
+            new Request.Commit(
+                List.of(new Guard("a/b", new Revision(0))),
+                List.of(
+                    new Change.Put(
+                        "a/b",
+                        new StoredValue.LeaderRecord(new NodeId("n"), "x"),
+                        Optional.of(new HoldId(7))),
+                    new Change.Remove("c/d")),
+                Request.Urgency.REST));
+    assertThat(commit.path()).isEqualTo("/commit");
+    assertThat(json(commit.body()))
+        .isEqualTo(
+            "{\"guards\":[{\"k\":\"a/b\",\"stamp\":0}],\"then\":[{\"set\":\"a/b\","
+                + "\"value\":{\"sort\":\"leader\",\"node\":\"n\",\"incarnation\":\"x\"},\"hold\":7},"
+                + "{\"delete\":\"c/d\"}]}");
+    Request.Watch watch =
+        new Request.Watch("c/", new Revision(431), Span.seconds(10), Request.Urgency.REST);
+    assertThat(StateCodec.encode(watch).path())
+        .isEqualTo("/watch?starts=c%2F&from=431&hold_ms=10000");
+  }
+
+  @Test
+  void readsTheStateServicesAnswers() throws Exception {
+    Request.Watch watch =
+        new Request.Watch("c/", new Revision(1), Span.millis(0), Request.Urgency.REST);
+    Answer answer =
+        StateCodec.decode(
+            watch,
+            200,
+            packed(
+                "{\"epoch\":433,\"news\":[{\"set\":\"c/9\",\"value\":{\"sort\":\"done\","
+                    + "\"bits\":\"ff\"},\"stamp\":433},{\"delete\":\"c/d\",\"stamp\":432}]}"));
+    assertThat(((Answer.Changes) answer).news()).hasSize(2);
+    assertThat(StateCodec.decode(watch, 410, new byte[0])).isEqualTo(new Answer.Refused(410, ""));
+    assertThatThrownBy(() -> StateCodec.decode(watch, 200, "no".getBytes(StandardCharsets.UTF_8)))
+        .isInstanceOf(BadMessage.class);
+  }
+
+  @Test
+  void speaksToTheCloudAsThePageSays() throws Exception {
+    Request.Rent rent = new Request.Rent(new AskId("r-17"), "g8", "a", true, 12);
+    assertThat(json(CloudCodec.encode(rent).body()))
+        .isEqualTo(
+            "{\"ask\":\"r-17\",\"flavor\":\"g8\",\"region\":\"a\",\"leftovers\":true,"
+                + "\"number\":12}");
+    Answer types =
+        CloudCodec.decode(
+            new Request.FetchCatalog(),
+            200,
+            packed(
+                """
+                {"flavors":[{"sku":"g8","vcpus":96,"accelerators":8,"memory_gb":768,
+                 "cache_gb":200,"fetch_gb_per_s":1.0,"rate":12.0,"low_price":4.5,"startup_s":45,
+                 "regions":["a","b"]}]}
+                """));
+    assertThat(((Answer.Catalog) types).types().get("g8").zones()).containsExactly("a", "b");
+    Answer list =
+        CloudCodec.decode(
+            new Request.ListRentals(Optional.empty()),
+            200,
+            packed(
+                """
+                {"hosts":[{"ref":"host-000231","addr":"10.1.0.232:9000","flavor":"g8",
+                 "region":"a","leftovers":true,"status":"running","held_s":61.5}],"more":false}
+                """));
+    assertThat(((Answer.Rentals) list).rentals().get(0).held()).isEqualTo(Span.millis(61500));
+  }
+
+  @Test
+  void tellsUsersTheStateInTheirWords() throws Exception {
+    byte[] bytes =
+        UserCodec.status(
+            new Response.JobStatus(
+                false, new JobId("j-000412"), Response.JobState.CANCELLED, 3, 13));
+    assertThat(json(bytes))
+        .isEqualTo("{\"ref\":\"j-000412\",\"status\":\"withdrawn\",\"done\":3,\"running\":13}");
+  }
+}
