--- a/deploy/policy.example.hcl
+++ b/deploy/policy.example.hcl
@@ -6,7 +6,8 @@
   deadline_weight = 0.3
   remaining_weight = 0.3
   wait_weight     = 0.35
-  guarantee_bonus = 20
+  guarantee_bonus = 150
+  floor_s         = 5
 }
 
 hosts {
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -19,6 +19,7 @@
 import org.oakwalk.core.placement.Placer;
 import org.oakwalk.core.placement.Quota;
 import org.oakwalk.core.placement.RunTimes;
+import org.oakwalk.core.placement.Targets;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.recovery.Recovery;
@@ -88,7 +89,14 @@
     this.recovery =
         new Recovery(outbox, fleet, jobs, results, registry, settings.peers(), coastLimit, now);
     this.placer =
-        new Placer(fleet, jobs, policy, new Quota(settings.teams(), fleet), runTimes, suspectAfter);
+        new Placer(
+            fleet,
+            jobs,
+            policy,
+            new Targets(settings.objectives()),
+            new Quota(settings.teams(), fleet),
+            runTimes,
+            suspectAfter);
     this.capacity =
         new Capacity(
             outbox, fleet, jobs, registry, policy.capacity(), settings, runTimes, suspectAfter);
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -46,7 +46,7 @@
     this.policy = policy;
     this.quota = quota;
     this.runTimes = runTimes;
-    this.score = new Score(policy.scoring());
+    this.score = new Score(policy.scoring(), targets);
     this.hosts = new IdealHost(policy.hosts());
     this.preemption = new Preemption(quota);
     this.suspectAfter = suspectAfter;
@@ -111,7 +111,7 @@
         double value =
             score.of(
                 job,
-                runTimes.expected(job.spec()),
+                remaining(job, machines),
                 now.since(job.waitingSince()),
                 largest,
                 quota.guarantees(job),
@@ -124,6 +124,19 @@
     return ranked;
   }
 
+  /**
+   * The time until a job could be complete: a run of one task, and before it what all machines
+   * together need for the others. Of two jobs with equal tasks the one with fewer left goes first.
+   */
+  private Span remaining(Job job, List<Machine> machines) {
+    Span run = runTimes.expected(job.spec());
+    int places = 0;
+    for (Machine machine : machines) {
+      places += machine.type().room().count(job.spec().room());
+    }
+    return run.plus(run.times(job.pendingCount() / (double) Math.max(1, places)));
+  }
+
   private enum Outcome {
     ALL,
     NO_ROOM,
--- a/src/main/java/org/oakwalk/core/placement/Score.java
+++ b/src/main/java/org/oakwalk/core/placement/Score.java
@@ -13,18 +13,21 @@
  */
 public final class Score {
   private static final double HOUR_MS = 3_600_000.0;
-  private static final double FLOOR_HOURS = 1.0 / 60;
 
   private final Policy.Scoring weights;
+  private final Targets targets;
+  private final double floorHours;
 
-  public Score(Policy.Scoring weights) {
+  public Score(Policy.Scoring weights, Targets targets) {
     this.weights = weights;
+    this.targets = targets;
+    this.floorHours = weights.floor().millis() / HOUR_MS;
   }
 
   /**
    * Scores the waiting tasks of a job.
    *
-   * @param remaining expected run time of one of its tasks; zero if it has no end
+   * @param remaining expected time until it could be complete; zero if it has no end
    * @param wait how long its tasks have been waiting
    * @param largest room of the largest machine, against which requests are measured
    * @param guaranteed whether the job is within its team's guarantee
@@ -33,7 +36,7 @@
       Job job, Span remaining, Span wait, Room largest, boolean guaranteed, WallTime now) {
     double importance = value(job.spec().priority()) * job.spec().room().share(largest);
     double urgency =
-        weights.deadlineWeight() * nearness(job, now)
+        weights.deadlineWeight() * nearness(job, remaining, now)
             + weights.remainingWeight() * shortness(remaining)
             + weights.waitWeight() * Math.max(0, wait.millis()) / HOUR_MS;
     return weights.alpha() * importance
@@ -41,17 +44,20 @@
         + (guaranteed ? weights.guaranteeBonus() : 0);
   }
 
-  /** One over the hours left to the deadline; a job without one counts as farthest away. */
-  private static double nearness(Job job, WallTime now) {
-    return job.spec()
-        .due()
-        .map(due -> due.minus(now.since(job.accepted())).millis() / HOUR_MS)
-        .map(left -> 1 / Math.max(left, FLOOR_HOURS))
+  /**
+   * One over the hours left to the deadline. A job without one counts as farthest away, and so does
+   * one that can't be in time any more: its hurry would only make others late.
+   */
+  private double nearness(Job job, Span remaining, WallTime now) {
+    Span age = now.since(job.accepted());
+    return targets
+        .next(job.spec(), age.plus(remaining))
+        .map(due -> 1 / Math.max(due.minus(age).millis() / HOUR_MS, floorHours))
         .orElse(0.0);
   }
 
-  private static double shortness(Span remaining) {
-    return remaining.millis() <= 0 ? 0 : 1 / Math.max(remaining.millis() / HOUR_MS, FLOOR_HOURS);
+  private double shortness(Span remaining) {
+    return remaining.millis() <= 0 ? 0 : 1 / Math.max(remaining.millis() / HOUR_MS, floorHours);
   }
 
   /** Steps between priorities are wide enough that urgency alone does not bridge them. */
@@ -59,8 +65,8 @@
     return switch (priority) {
       case LOW -> 1;
       case NORMAL -> 10;
-      case HIGH -> 1000;
-      case PRODUCTION -> 4000;
+      case HIGH -> 20_000;
+      case PRODUCTION -> 80_000;
     };
   }
 }
--- a/src/main/java/org/oakwalk/daemon/PolicyFile.java
+++ b/src/main/java/org/oakwalk/daemon/PolicyFile.java
@@ -52,7 +52,8 @@
                 number("score", "deadline_weight", 0, 1000, scoring.deadlineWeight()),
                 number("score", "remaining_weight", 0, 1000, scoring.remainingWeight()),
                 number("score", "wait_weight", 0, 1000, scoring.waitWeight()),
-                number("score", "guarantee_bonus", 0, 1e6, scoring.guaranteeBonus())),
+                number("score", "guarantee_bonus", 0, 1e6, scoring.guaranteeBonus()),
+                seconds("score", "floor_s", 0.001, 3600, scoring.floor())),
             new Policy.Hosts(
                 number("hosts", "mark", 0.1, 1, hosts.mark()),
                 number("hosts", "image_weight", 0, 100, hosts.imageWeight()),
