--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -40,7 +40,13 @@
   private int placed;
 
   public Placer(
-      Fleet fleet, JobBook jobs, Policy policy, Quota quota, RunTimes runTimes, Span suspectAfter) {
+      Fleet fleet,
+      JobBook jobs,
+      Policy policy,
+      Targets targets,
+      Quota quota,
+      RunTimes runTimes,
+      Span suspectAfter) {
     this.fleet = fleet;
     this.jobs = jobs;
     this.policy = policy;
