--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -12,6 +12,7 @@
  */
 public final class IdealHost {
   private static final double LONG_FETCH_SECONDS = 10;
+  private static final double SERVICE_FACTOR = 5;
 
   private final Policy.Hosts policy;
 
@@ -39,7 +40,7 @@
           square(cpuUse(machine) - leastCpu)
               + square(memoryUse(machine) - leastMemory)
               + square(gpuUse(machine) - leastGpu)
-              + square(policy.imageWeight() * fetchShare(spec, machine))
+              + square(imageWeight(spec) * fetchShare(spec, machine))
               + machine.errorsOf(spec.id());
       if (distance < bestDistance) {
         bestDistance = distance;
@@ -70,6 +71,11 @@
     return asked > spared || free - asked >= spared - 1e-9;
   }
 
+  /** Replicas are waited for, so for them the image counts more than an even load. */
+  private double imageWeight(JobSpec spec) {
+    return spec.service() ? SERVICE_FACTOR * policy.imageWeight() : policy.imageWeight();
+  }
+
   private static double fetchShare(JobSpec spec, Machine machine) {
     if (machine.hasImage(spec.image())) {
       return 0;
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -26,12 +26,15 @@
 public final class Placer {
   private static final int MOST_PREEMPTIONS = 16;
   private static final int MOST_RESERVATIONS = 3;
+  private static final int MOST_FOR_WARMTH = 2;
+  private static final Span WARM_PATIENCE = Span.millis(2000);
 
   private final Fleet fleet;
   private final JobBook jobs;
   private final Policy policy;
   private final Quota quota;
   private final RunTimes runTimes;
+  private final Targets targets;
   private final Score score;
   private final IdealHost hosts;
   private final Preemption preemption;
@@ -52,6 +55,7 @@
     this.policy = policy;
     this.quota = quota;
     this.runTimes = runTimes;
+    this.targets = targets;
     this.score = new Score(policy.scoring(), targets);
     this.hosts = new IdealHost(policy.hosts());
     this.preemption = new Preemption(quota);
@@ -89,7 +93,7 @@
         if (job.unplacedRounds() >= policy.hosts().reserveAfterRounds()) {
           reserve(job, machines);
         }
-      } else {
+      } else if (outcome != Outcome.WARMING) {
         job.unplacedRounds(0);
         reserved.values().removeIf(job::equals);
       }
@@ -146,7 +150,9 @@
   private enum Outcome {
     ALL,
     NO_ROOM,
-    LIMITED
+    LIMITED,
+    /** Room is being made where the image is. */
+    WARMING
   }
 
   private Outcome place(Job job, List<Machine> machines, Moment now) {
@@ -161,6 +167,12 @@
         return Outcome.LIMITED;
       }
       Machine machine = pick(job, index, machines, zones, now);
+      if (spec.service() && (machine == null || tooCold(spec, machine))) {
+        Outcome outcome = warmPlace(job, machines, zones, now);
+        if (outcome != null) {
+          return outcome;
+        }
+      }
       if (machine == null) {
         return Outcome.NO_ROOM;
       }
@@ -172,6 +184,39 @@
     return Outcome.ALL;
   }
 
+  /** Whether getting the image there would take longer than a task of this class may wait. */
+  private boolean tooCold(JobSpec spec, Machine machine) {
+    return !machine.hasImage(spec.image())
+        && targets
+            .start(spec)
+            .filter(within -> within.compareTo(machine.type().fetch(spec.imageGb())) < 0)
+            .isPresent();
+  }
+
+  /**
+   * Makes room for a replica where its image is, since the fetch alone would miss what is expected
+   * of its start. Returns null if there is no such place; then it starts wherever there is room.
+   */
+  private Outcome warmPlace(
+      Job job, List<Machine> machines, Map<String, Integer> zones, Moment now) {
+    if (now.past(job.waitingSince(), WARM_PATIENCE)
+        || job.spec().priority().compareTo(Priority.NORMAL) <= 0) {
+      return null;
+    }
+    List<Machine> warm = candidates(job, machines, zones);
+    warm.removeIf(machine -> !machine.hasImage(job.spec().image()));
+    if (warm.stream().anyMatch(machine -> reserved.get(machine) == job)) {
+      return Outcome.WARMING;
+    }
+    Preemption.Plan plan = preemption.cheapest(job, warm, now);
+    if (plan == null || plan.victims().size() > MOST_FOR_WARMTH) {
+      return null;
+    }
+    plan.victims().forEach(victim -> fleet.halt(victim, victim.job().spec().saveTime()));
+    reserved.put(plan.machine(), job);
+    return Outcome.WARMING;
+  }
+
   /** All tasks of a gang find a place in one round, or none is placed. */
   private Outcome placeGang(
       Job job, List<Machine> machines, Map<String, Integer> zones, Moment now) {
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -53,7 +53,7 @@
     double end = 60;
     for (Words line : lines) {
       switch (line.word(0)) {
-        case "settings", "team" -> {}
+        case "settings", "team", "wait", "finished" -> {}
         case "type" -> type(line);
         case "capacity" -> capacity(line);
         case "machine" -> machines(line);
@@ -91,7 +91,7 @@
         List.of(),
         List.of(base.text("zones", "a").split(",")),
         teams,
-        List.of(),
+        objectives(),
         new Settings.Workers(
             Span.seconds(base.number("report", 2)),
             Span.seconds(base.number("lease", 10)),
@@ -101,6 +101,17 @@
         new Settings.CloudLimits(5, Span.seconds(base.number("lag", 5))));
   }
 
+  private List<Settings.Objective> objectives() {
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (Words line : lines) {
+      if (line.word(0).equals("wait") || line.word(0).equals("finished")) {
+        objectives.add(
+            new Settings.Objective(line.word(0), line.word(1), line.number("within", 5), 0.9, 1));
+      }
+    }
+    return objectives;
+  }
+
   private void type(Words line) {
     world.cloud.types.put(
         line.word(1),
