--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -182,7 +182,7 @@
             LOG.info("machine {} fails its tasks and is left out", machine.id());
             machine.drain(true);
           }
-          if (machine.draining() && machine.idle()) {
+          if (machine.draining() && machine.idle() && now.past(machine.known(), PAID_AT_LEAST)) {
             returnMachine(machine);
           }
         }
@@ -281,21 +281,10 @@
   private void adjust(MachineType type, Need need, double peak, Moment now) {
     int ordinary = 0;
     int spot = 0;
-    List<Machine> idle = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
-      if (!machine.type().name().equals(type.name()) || !counts(machine, now)) {
-        continue;
-      }
-      if (machine.spot()) {
-        spot++;
-      } else {
-        ordinary++;
-      }
-      if (machine.state() == Machine.State.UP
-          && machine.idle()
-          && now.past(machine.idleSince(), policy.idle())
-          && now.past(machine.known(), PAID_AT_LEAST)) {
-        idle.add(machine);
+      if (machine.type().name().equals(type.name()) && counts(machine, now)) {
+        ordinary += machine.spot() ? 0 : 1;
+        spot += machine.spot() ? 1 : 0;
       }
     }
     // With nothing to do at all, the spare machines go as well.
@@ -305,6 +294,9 @@
     int wantedOrdinary =
         idleAll ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
     int missing = wanted - ordinary - spot;
+    if (missing > 0) {
+      missing -= keep(type, missing, now);
+    }
     if (missing > 0) {
       int flexible = Math.max(0, wanted - wantedOrdinary);
       int wantedSpot = (int) Math.floor(flexible * policy.spotShare());
@@ -317,19 +309,54 @@
         rent(type, true, left, now);
       }
     } else if (missing < 0) {
-      idle.sort(Comparator.comparing(machine -> -type.price(machine.spot())));
-      int surplus = -missing;
-      for (Machine machine : idle) {
-        if (surplus <= 0) {
-          break;
-        }
-        if (!machine.spot() && ordinary <= wantedOrdinary) {
-          continue;
-        }
-        ordinary -= machine.spot() ? 0 : 1;
-        surplus--;
-        LOG.info("machine {} is idle and returned", machine.id());
-        returnMachine(machine);
+      retire(type, -missing, ordinary - wantedOrdinary, now);
+    }
+  }
+
+  /** Takes machines back into use that were to be returned; returns how many. */
+  private int keep(MachineType type, int count, Moment now) {
+    int kept = 0;
+    for (Machine machine : fleet.machines()) {
+      if (kept < count
+          && machine.type().name().equals(type.name())
+          && machine.state() == Machine.State.UP
+          && machine.draining()
+          && !machine.faulty()
+          && machine.reclaimedAt() == null
+          && !now.past(machine.heard(), suspectAfter)) {
+        machine.drain(false);
+        kept++;
+      }
+    }
+    return kept;
+  }
+
+  /**
+   * Picks machines that are no longer needed. They get no new tasks and are returned when the last
+   * one has ended, since an even load over all machines would otherwise leave none idle.
+   */
+  private void retire(MachineType type, int surplus, int ordinarySurplus, Moment now) {
+    List<Machine> candidates = new ArrayList<>();
+    for (Machine machine : fleet.machines()) {
+      if (machine.type().name().equals(type.name())
+          && machine.state() == Machine.State.UP
+          && !machine.draining()
+          && now.past(machine.known(), policy.idle())
+          && machine.placements().stream().noneMatch(p -> p.job().spec().service())) {
+        candidates.add(machine);
+      }
+    }
+    candidates.sort(
+        Comparator.comparingDouble((Machine machine) -> -type.price(machine.spot()))
+            .thenComparingDouble(machine -> machine.used().share(type.room())));
+    int left = surplus;
+    int ordinaryLeft = ordinarySurplus;
+    for (Machine machine : candidates) {
+      if (left > 0 && (machine.spot() || ordinaryLeft > 0)) {
+        left--;
+        ordinaryLeft -= machine.spot() ? 0 : 1;
+        machine.drain(true);
+        LOG.info("machine {} is not needed any more", machine.id());
       }
     }
   }
