--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -28,6 +28,7 @@
   private static final Span SUMMARY_EVERY = Span.seconds(10);
   private static final Span COAST_MARGIN = Span.seconds(2);
   private static final Span READY_WITHOUT_CONTACT = Span.seconds(6);
+  private static final Span DIGEST_COUNTS_FOR = Span.millis(2500);
   private static final Span SOON = Span.seconds(1);
 
   private final Settings settings;
@@ -38,6 +39,8 @@
   private final Catalogue catalogue;
   private Optional<Reign> reign = Optional.empty();
   private Moment nextDigest = new Moment(Long.MIN_VALUE / 2);
+  private Optional<NodeId> digestFrom = Optional.empty();
+  private Moment digested = new Moment(Long.MIN_VALUE / 2);
   private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
   private Moment now = new Moment(0);
   private WallTime wall = new WallTime(0);
@@ -122,7 +125,7 @@
     } else if (event instanceof Event.WorkerReports reports) {
       outbox.respond(reports.exchange(), report(reports.report()));
     } else if (event instanceof Event.UserAsks asks) {
-      desk.serve(asks.request(), response -> outbox.respond(asks.exchange(), response));
+      serve(asks);
     } else if (event instanceof Event.HealthAsked asked) {
       outbox.respond(asked.exchange(), health());
     } else if (event instanceof Event.PeerSays says) {
@@ -149,7 +152,8 @@
   private void digest(Reign current) {
     Map<JobId, PeerMessage.Counts> counts = current.counts();
     desk.counts(counts);
-    PeerMessage message = new PeerMessage.Digest(settings.node(), current.token(), counts);
+    PeerMessage message =
+        new PeerMessage.Digest(settings.node(), current.token(), view.fresh(now), counts);
     for (NodeId peer : settings.peers()) {
       outbox.call(
           new Request.Tell(peer, message),
@@ -181,9 +185,42 @@
             .filter(node -> !node.equals(settings.node())));
   }
 
+  /**
+   * Serves a user, through the leader if this node alone has lost the state service. In an outage
+   * the leader has lost it as well, and the user is sent away at once.
+   */
+  private void serve(Event.UserAsks asks) {
+    desk.serve(
+        asks.request(),
+        response -> {
+          boolean unavailable = response instanceof Response.Problem p && p.status() == 503;
+          if (unavailable && servingPeer().isPresent()) {
+            forward(asks, response);
+          } else {
+            outbox.respond(asks.exchange(), response);
+          }
+        });
+  }
+
+  private void forward(Event.UserAsks asks, Response otherwise) {
+    outbox.call(
+        new Request.Tell(servingPeer().orElseThrow(), new PeerMessage.Forward(asks.request())),
+        answer ->
+            outbox.respond(
+                asks.exchange(),
+                answer instanceof Answer.Told told
+                        && told.message() instanceof PeerMessage.Forwarded forwarded
+                    ? forwarded.response()
+                    : otherwise));
+  }
+
+  private Optional<NodeId> servingPeer() {
+    return now.past(digested, DIGEST_COUNTS_FOR) ? Optional.empty() : digestFrom;
+  }
+
   private Response health() {
-    boolean serves =
-        view.loaded() && desk.knowsTypes() && !now.past(view.contact(), READY_WITHOUT_CONTACT);
+    boolean reaches = !now.past(view.contact(), READY_WITHOUT_CONTACT) || servingPeer().isPresent();
+    boolean serves = view.loaded() && desk.knowsTypes() && reaches;
     return serves ? new Response.Ready() : Response.unavailable("not ready", SOON);
   }
 
@@ -192,6 +229,10 @@
       leadership.higherTokenSeen(digest.token(), now);
       if (reign.isEmpty()) {
         desk.counts(digest.counts());
+        if (digest.serves()) {
+          digestFrom = Optional.of(digest.from());
+          digested = now;
+        }
       }
       outbox.respond(
           says.exchange(),
--- a/src/main/java/org/oakwalk/core/port/PeerMessage.java
+++ b/src/main/java/org/oakwalk/core/port/PeerMessage.java
@@ -11,8 +11,12 @@
   /** How many tasks of a job are done and running. */
   record Counts(int done, int running) {}
 
-  /** The leader's view of the open jobs, for display. */
-  record Digest(NodeId from, Token token, Map<JobId, Counts> counts) implements PeerMessage {}
+  /**
+   * The leader's view of the open jobs, for display. {@code serves} says that the sender reaches
+   * the state service, so that others may hand it requests.
+   */
+  record Digest(NodeId from, Token token, boolean serves, Map<JobId, Counts> counts)
+      implements PeerMessage {}
 
   /**
    * Answer to a digest. {@code settled} says that the sender acts under no token of its own older
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -42,7 +42,7 @@
 
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
-  private static final Span STALE = Span.millis(2500);
+  private static final Span STALE = Span.millis(1800);
 
   private final Outbox outbox;
   private final Span spacing;
--- a/src/main/java/org/oakwalk/wire/PeerCodec.java
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -26,6 +26,7 @@
       map.put("sort", "digest");
       map.put("from", digest.from().value());
       map.put("token", digest.token().value());
+      map.put("serves", digest.serves());
       ObjectNode counts = map.putObject("counts");
       digest
           .counts()
@@ -54,6 +55,7 @@
           new PeerMessage.Digest(
               new NodeId(fields.text("from")),
               new Token(fields.count("token")),
+              fields.flag("serves"),
               counts(fields.get("counts")));
       case "acknowledged" ->
           new PeerMessage.Acknowledged(new NodeId(fields.text("from")), fields.flag("settled"));
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -196,7 +196,10 @@
 
   private static PeerMessage.Digest digest() {
     return new PeerMessage.Digest(
-        new NodeId("n"), new Token(3), Map.of(new JobId("j-1"), new PeerMessage.Counts(2, 5)));
+        new NodeId("n"),
+        new Token(3),
+        true,
+        Map.of(new JobId("j-1"), new PeerMessage.Counts(2, 5)));
   }
 
   @Test
