--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -20,6 +20,7 @@
 import org.oakwalk.core.placement.Quota;
 import org.oakwalk.core.placement.RunTimes;
 import org.oakwalk.core.placement.Targets;
+import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.recovery.Recovery;
@@ -36,6 +37,7 @@
   private static final Span EVENT_ROUND_SPACING = Span.millis(100);
 
   private final Token token;
+  private final Outbox outbox;
   private final Policy policy;
   private final JobBook jobs;
   private final Fleet fleet;
@@ -64,6 +66,7 @@
       Consumer<Token> higherToken,
       Moment now) {
     this.token = token;
+    this.outbox = outbox;
     this.policy = policy;
     this.rose = now;
     this.clock = now;
@@ -192,6 +195,7 @@
     int placed = placer.round(recovery.complete(), regular, now, wall);
     if (placed > 0 && !placedOnce) {
       placedOnce = true;
+      outbox.measured(Effect.Measure.FAILOVER, now.since(rose));
       LOG.info("first placement {} after the rise, token {}", now.since(rose), token);
     }
   }
@@ -244,6 +248,11 @@
     }
   }
 
+  @Override
+  public void placed(Job job, Moment now) {
+    outbox.measured(Effect.Measure.QUEUE_WAIT, now.since(job.waitingSince()));
+  }
+
   @Override
   public void roomChanged() {
     roundDue = true;
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -39,6 +39,9 @@
     /** A task completed on a machine after running this long; the span is null if unknown. */
     void completed(Job job, Machine machine, Span ran);
 
+    /** A task was put on a machine. */
+    void placed(Job job, Moment now);
+
     /** A machine takes tasks from now on, or has room again. */
     void roomChanged();
   }
@@ -124,6 +127,7 @@
   public Placement place(Job job, int index, Attempt attempt, Machine machine, Moment now) {
     Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, now);
     toCommand.add(machine);
+    listener.placed(job, now);
     LOG.debug("task {} try {} placed on {}", placement.task(), placement.attempt(), machine.id());
     return placement;
   }
--- a/src/main/java/org/oakwalk/core/port/Effect.java
+++ b/src/main/java/org/oakwalk/core/port/Effect.java
@@ -2,6 +2,7 @@
 
 import org.oakwalk.core.CallId;
 import org.oakwalk.core.ExchangeId;
+import org.oakwalk.core.Span;
 
 /** Something the core wants done outside. */
 public sealed interface Effect {
@@ -11,4 +12,15 @@
 
   /** Send a request; its answer is to come back under the same id. */
   record Call(CallId call, Request request) implements Effect {}
+
+  /** What is measured for the operators. */
+  enum Measure {
+    /** From a job's acceptance, as far as this leader has seen it, to a task's order. */
+    QUEUE_WAIT,
+    /** From a leader's rise to its first placement. */
+    FAILOVER
+  }
+
+  /** Something was measured. */
+  record Measured(Measure measure, Span span) implements Effect {}
 }
--- a/src/main/java/org/oakwalk/core/port/Outbox.java
+++ b/src/main/java/org/oakwalk/core/port/Outbox.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.oakwalk.core.CallId;
 import org.oakwalk.core.ExchangeId;
+import org.oakwalk.core.Span;
 
 /** Collects effects and remembers who waits for which answer. */
 public final class Outbox {
@@ -25,6 +26,11 @@
     effects.add(new Effect.Respond(exchange, response));
   }
 
+  /** Tells the operators how long something took. */
+  public void measured(Effect.Measure measure, Span span) {
+    effects.add(new Effect.Measured(measure, span));
+  }
+
   /** Delivers an answer; one that nobody waits for is dropped. */
   public void answered(CallId call, Answer answer) {
     Consumer<Answer> then = waiting.remove(call);
--- a/src/main/java/org/oakwalk/daemon/EventLoop.java
+++ b/src/main/java/org/oakwalk/daemon/EventLoop.java
@@ -1,5 +1,7 @@
 package org.oakwalk.daemon;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -7,10 +9,14 @@
 import org.oakwalk.adapter.Listener;
 import org.oakwalk.adapter.Outside;
 import org.oakwalk.core.Controller;
+import org.oakwalk.core.ExchangeId;
 import org.oakwalk.core.Moment;
+import org.oakwalk.core.Span;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
+import org.oakwalk.core.port.Response;
+import org.oakwalk.core.port.UserRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +29,8 @@
   private final BlockingQueue<Object> queue = new ArrayBlockingQueue<>(LONGEST_QUEUE);
   private final ConcurrentLinkedQueue<Runnable> answers = new ConcurrentLinkedQueue<>();
   private final Controller controller;
+  private final Histograms histograms = new Histograms(steadyMillis());
+  private final Map<ExchangeId, Long> submissions = new HashMap<>();
   private Outside outside;
   private Listener listener;
   private volatile boolean stopped;
@@ -65,6 +73,8 @@
         if (now >= nextTick) {
           nextTick = now + TICK_MILLIS;
           handle(new Event.Tick(), now);
+          histograms.record(Histograms.Kind.ROUND, Span.millis(steadyMillis() - now));
+          histograms.tick(now);
         }
         Object next = queue.poll(Math.max(1, nextTick - now), TimeUnit.MILLISECONDS);
         now = steadyMillis();
@@ -73,6 +83,10 @@
           answer.run();
         }
         if (next instanceof Event event) {
+          if (event instanceof Event.UserAsks asks
+              && asks.request() instanceof UserRequest.Submit) {
+            submissions.put(asks.exchange(), now);
+          }
           handle(event, now);
         }
         outside.pump(now);
@@ -89,7 +103,17 @@
     for (Effect effect :
         controller.handle(event, new Moment(now), new WallTime(System.currentTimeMillis()))) {
       if (effect instanceof Effect.Respond respond) {
+        Long since = submissions.remove(respond.exchange());
+        if (since != null && respond.response() instanceof Response.JobStatus) {
+          histograms.record(Histograms.Kind.ACCEPTANCE, Span.millis(steadyMillis() - since));
+        }
         listener.respond(respond.exchange(), respond.response());
+      } else if (effect instanceof Effect.Measured measured) {
+        histograms.record(
+            measured.measure() == Effect.Measure.FAILOVER
+                ? Histograms.Kind.FAILOVER
+                : Histograms.Kind.QUEUE_WAIT,
+            measured.span());
       } else if (effect instanceof Effect.Call call) {
         outside.call(
             call.request(),
