Guarantee as the protocol defines it: jobs that fit in with their team's earlier ones

Also: the peak that capacity is kept for no longer exceeds what could be rented, so retiring begins when the load falls.

--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -238,7 +238,9 @@
         + " machines "
         + states
         + " spot "
-        + spot;
+        + spot
+        + "; "
+        + capacity.summary();
   }
 
   @Override
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -38,7 +39,7 @@
   private static final Span PAID_AT_LEAST = Span.seconds(60);
   private static final int MOST_PER_ASK = 20;
   private static final int MOST_RELEASED = 100;
-  private static final double PEAK_HALVES_IN_SECONDS = 120;
+  private static final double PEAK_HALVES_IN_SECONDS = 60;
 
   /** Where and how machines of one sort are rented. */
   private record Market(String type, String zone, boolean spot) {}
@@ -61,6 +62,7 @@
   private Moment nextList = new Moment(Long.MIN_VALUE / 2);
   private Moment nextRelease = new Moment(Long.MIN_VALUE / 2);
   private Moment clock = new Moment(0);
+  private String summary = "";
   private boolean listing;
   private long asks;
   private final Map<String, Double> peaks = new HashMap<>();
@@ -256,12 +258,24 @@
     double fade = Math.pow(0.5, PLAN_EVERY.asSeconds() / PEAK_HALVES_IN_SECONDS);
     for (MachineType type : types.values()) {
       Need need = needs.getOrDefault(type.name(), new Need(0, 0));
-      double peak = Math.max(need.total(), peaks.getOrDefault(type.name(), 0.0) * fade);
+      // What could not be rented was not used either, so it is no measure for what is kept.
+      double kept = Math.min(peaks.getOrDefault(type.name(), 0.0), held(type));
+      double peak = Math.max(need.total(), kept * fade);
       peaks.put(type.name(), peak);
       adjust(type, need, peak, now);
     }
   }
 
+  private int held(MachineType type) {
+    int held = 0;
+    for (Machine machine : fleet.machines()) {
+      if (machine.type().name().equals(type.name()) && !machine.draining()) {
+        held++;
+      }
+    }
+    return held;
+  }
+
   /** The type that costs least for one task of the job. */
   private MachineType cheapest(Job job) {
     MachineType best = null;
@@ -294,6 +308,15 @@
     int wantedOrdinary =
         idleAll ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
     int missing = wanted - ordinary - spot;
+    summary =
+        String.format(
+            Locale.ROOT,
+            "need %.1f (ordinary %.1f) peak %.1f wanted %d held %d",
+            need.total(),
+            need.ordinary(),
+            peak,
+            wanted,
+            ordinary + spot);
     if (missing > 0) {
       missing -= keep(type, missing, now);
     }
@@ -361,6 +384,11 @@
     }
   }
 
+  /** One line on the last plan, for the log. */
+  public String summary() {
+    return summary;
+  }
+
   private boolean counts(Machine machine, Moment now) {
     return switch (machine.state()) {
       case BOOTING -> !now.past(machine.known(), machine.type().boot().times(2));
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -72,6 +72,7 @@
    */
   public int round(boolean inheritedToo, boolean regular, Moment now, WallTime wall) {
     placed = 0;
+    quota.survey(jobs.all());
     List<Machine> machines = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
       if (machine.takesTasks(now, suspectAfter)) {
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -1,6 +1,13 @@
 package org.oakwalk.core.placement;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.oakwalk.core.Settings;
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.job.Job;
@@ -10,6 +17,7 @@
 public final class Quota {
   private final Map<String, Settings.Team> teams;
   private final Fleet fleet;
+  private final Set<Job> guaranteed = new HashSet<>();
 
   public Quota(Map<String, Settings.Team> teams, Fleet fleet) {
     this.teams = teams;
@@ -31,15 +39,31 @@
         && (team.gpusMax() <= 0 || use.gpus() <= team.gpusMax() + 1e-6);
   }
 
-  /** Whether one more task of the job stays within its team's guarantee. */
-  public boolean guarantees(Job job) {
-    Settings.Team team = teams.get(job.spec().team());
-    if (team == null || (team.cpus() <= 0 && team.gpus() <= 0)) {
-      return false;
+  /**
+   * Finds the jobs that are within their teams' guarantees: those that fit in together with all
+   * unfinished jobs that their team submitted before them.
+   */
+  public void survey(Collection<Job> jobs) {
+    guaranteed.clear();
+    Map<String, Room> sums = new HashMap<>();
+    List<Job> inOrder = new ArrayList<>(jobs);
+    inOrder.sort(Comparator.comparing(Job::stamp));
+    for (Job job : inOrder) {
+      Settings.Team team = teams.get(job.spec().team());
+      if (job.open() && team != null && (team.cpus() > 0 || team.gpus() > 0)) {
+        Room asked = job.spec().room().times(job.spec().tasks() - job.doneCount());
+        Room sum = sums.merge(team.name(), asked, Room::plus);
+        if (sum.cpus() <= team.cpus() + 1e-6
+            && (asked.gpus() <= 0 || sum.gpus() <= team.gpus() + 1e-6)) {
+          guaranteed.add(job);
+        }
+      }
     }
-    Room use = fleet.use(team.name()).plus(job.spec().room());
-    return use.cpus() <= team.cpus() + 1e-6
-        && (job.spec().room().gpus() <= 0 || use.gpus() <= team.gpus() + 1e-6);
+  }
+
+  /** Whether the job was within its team's guarantee at the last survey. */
+  public boolean guarantees(Job job) {
+    return guaranteed.contains(job);
   }
 
   /** Whether the team uses more than it is guaranteed, so that others may claim it back. */
