--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -165,6 +165,7 @@
   private void returnBroken(Moment now) {
     List<Machine> silent = new ArrayList<>();
     int up = 0;
+    int lapsed = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
       switch (machine.state()) {
         case BOOTING -> {
@@ -189,15 +190,15 @@
           }
         }
         case LAPSED -> {
-          if (now.past(machine.heard(), suspectAfter.plus(suspectAfter).plus(RETRY))) {
-            returnMachine(machine);
-          }
+          lapsed++;
+          silent.add(machine);
         }
         case UNCONFIRMED, ENROLLING, RETURNING, GONE -> {}
       }
     }
-    // Many silent machines at once are out of reach rather than broken: they are left alone.
-    if (silent.size() <= Math.max(2, up / 6)) {
+    // Many silent machines at once are out of reach rather than broken. They are left alone, also
+    // when their leases have run out, since they come back when the network does.
+    if (silent.size() <= Math.max(2, (up + lapsed) / 6)) {
       for (Machine machine : silent) {
         if (now.past(machine.heard(), policy.suspectAfter())) {
           LOG.info("machine {} is silent, {} tasks", machine.id(), machine.placements().size());
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -55,6 +56,7 @@
   private final Map<TaskId, Placement> byTask = new HashMap<>();
   private final Map<String, Room> teamUse = new HashMap<>();
   private Map<String, MachineType> types = Map.of();
+  private final Set<MachineId> gone = new HashSet<>();
   private final Set<Machine> toCommand = new LinkedHashSet<>();
   private long attempts;
 
@@ -170,6 +172,10 @@
    * @return the machine, unless the report could not be used
    */
   public Optional<Machine> report(Report report, boolean own, Moment now) {
+    if (gone.contains(report.machine())) {
+      // Held back by a cut and late: the cloud has confirmed that this machine is no more.
+      return Optional.empty();
+    }
     Machine machine = machines.get(report.machine());
     if (machine == null) {
       machine =
@@ -442,6 +448,7 @@
     machine.enter(Machine.State.GONE);
     loseAll(machine, now);
     machines.remove(machine.id());
+    gone.add(machine.id());
     LOG.info("machine {} returned", machine.id());
   }
 
