Revert "Tasks that may use spot machines prefer them"

Conclusion: the gain in price does not pay for what a wave then takes with it; replicas no longer stop enough to matter.

--- a/deploy/policy.example.hcl
+++ b/deploy/policy.example.hcl
@@ -13,7 +13,6 @@
 hosts {
   mark                 = 0.9
   image_weight         = 1.0
-  ordinary_weight      = 1.5
   reserve_after_rounds = 2
 }
 
--- a/src/main/java/org/oakwalk/core/Policy.java
+++ b/src/main/java/org/oakwalk/core/Policy.java
@@ -13,8 +13,7 @@
       Span floor) {}
 
   /** Choice of machines. */
-  public record Hosts(
-      double mark, double imageWeight, double ordinaryWeight, int reserveAfterRounds) {}
+  public record Hosts(double mark, double imageWeight, int reserveAfterRounds) {}
 
   /** What to rent and what to return. */
   public record Capacity(
@@ -28,7 +27,7 @@
   public static Policy defaults() {
     return new Policy(
         new Scoring(0.3, 0.3, 0.3, 0.35, 150, Span.seconds(5)),
-        new Hosts(0.9, 1.0, 1.5, 2),
+        new Hosts(0.9, 1.0, 2),
         Span.seconds(2),
         new Capacity(0.25, 2, Span.seconds(40), 0.5, Span.seconds(8), Span.seconds(120)));
   }
--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -8,8 +8,7 @@
 
 /**
  * Chooses the machine nearest to an ideal one, which has the lowest use of each resource seen on
- * any machine, holds the task's image already, and is a spot machine if the task may use one:
- * replicas mostly may not, and would have to stop what took their room.
+ * any machine, and holds the task's image already.
  */
 public final class IdealHost {
   private static final double LONG_FETCH_SECONDS = 10;
@@ -42,7 +41,6 @@
               + square(memoryUse(machine) - leastMemory)
               + square(gpuUse(machine) - leastGpu)
               + square(imageWeight(spec) * fetchShare(spec, machine))
-              + square(spec.spotAllowed() && !machine.spot() ? policy.ordinaryWeight() : 0)
               + machine.errorsOf(spec.id());
       if (distance < bestDistance) {
         bestDistance = distance;
--- a/src/main/java/org/oakwalk/daemon/PolicyFile.java
+++ b/src/main/java/org/oakwalk/daemon/PolicyFile.java
@@ -57,7 +57,6 @@
             new Policy.Hosts(
                 number("hosts", "mark", 0.1, 1, hosts.mark()),
                 number("hosts", "image_weight", 0, 100, hosts.imageWeight()),
-                number("hosts", "ordinary_weight", 0, 100, hosts.ordinaryWeight()),
                 (int) number("hosts", "reserve_after_rounds", 1, 1000, hosts.reserveAfterRounds())),
             seconds("rounds", "period_s", 0.1, 60, defaults.round()),
             new Policy.Capacity(
