Stop first what can bear it: tasks whose jobs stay in time

Cause: replicas that need room stopped the task with the least progress, often the last of an array with no time to spare, and so made the whole array late.

--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -41,6 +41,7 @@
   private final Span suspectAfter;
   private final Map<Machine, Job> reserved = new HashMap<>();
   private int placed;
+  private WallTime wall = new WallTime(0);
 
   public Placer(
       Fleet fleet,
@@ -58,7 +59,7 @@
     this.targets = targets;
     this.score = new Score(policy.scoring(), targets);
     this.hosts = new IdealHost(policy.hosts());
-    this.preemption = new Preemption(quota);
+    this.preemption = new Preemption(quota, targets, runTimes);
     this.suspectAfter = suspectAfter;
   }
 
@@ -72,6 +73,7 @@
    */
   public int round(boolean inheritedToo, boolean regular, Moment now, WallTime wall) {
     placed = 0;
+    this.wall = wall;
     quota.survey(jobs.all());
     List<Machine> machines = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
@@ -209,7 +211,7 @@
     if (warm.stream().anyMatch(machine -> reserved.get(machine) == job)) {
       return Outcome.WARMING;
     }
-    Preemption.Plan plan = preemption.cheapest(job, warm, now);
+    Preemption.Plan plan = preemption.cheapest(job, warm, now, wall);
     if (plan == null || plan.victims().size() > MOST_FOR_WARMTH) {
       return null;
     }
@@ -344,7 +346,7 @@
     int stopped = 0;
     List<Machine> candidates = candidates(job, machines, zoneUse(job));
     for (int missing = job.pendingCount(); missing > 0 && stopped < most; missing--) {
-      Preemption.Plan plan = preemption.cheapest(job, candidates, now);
+      Preemption.Plan plan = preemption.cheapest(job, candidates, now, wall);
       if (plan == null) {
         break;
       }
