--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -37,9 +37,12 @@
   private static final Span RETRY = Span.seconds(1);
   private static final Span REFUSED_PAUSE = Span.seconds(8);
   private static final Span PAID_AT_LEAST = Span.seconds(60);
+  private static final Span CONFIRMS_WITHIN = Span.seconds(4);
   private static final int MOST_PER_ASK = 20;
   private static final int MOST_RELEASED = 100;
-  private static final double PEAK_HALVES_IN_SECONDS = 60;
+  private static final double TIGHT_HALVES_IN_SECONDS = 240;
+  private static final double LOOSE_HALVES_IN_SECONDS = 45;
+  private static final double LOOSE_HEADROOM = 0.3;
 
   /** Where and how machines of one sort are rented. */
   private record Market(String type, String zone, boolean spot) {}
@@ -65,7 +68,8 @@
   private String summary = "";
   private boolean listing;
   private long asks;
-  private final Map<String, Double> peaks = new HashMap<>();
+  private final Map<String, Double> tightPeaks = new HashMap<>();
+  private final Map<String, Double> loosePeaks = new HashMap<>();
 
   public Capacity(
       Outbox outbox,
@@ -193,14 +197,22 @@
           lapsed++;
           silent.add(machine);
         }
-        case UNCONFIRMED, ENROLLING, RETURNING, GONE -> {}
+        case UNCONFIRMED -> {
+          up++;
+          if (now.past(machine.known(), CONFIRMS_WITHIN)) {
+            silent.add(machine);
+          }
+        }
+        case ENROLLING, RETURNING, GONE -> {}
       }
     }
     // Many silent machines at once are out of reach rather than broken. They are left alone, also
     // when their leases have run out, since they come back when the network does.
     if (silent.size() <= Math.max(2, (up + lapsed) / 6)) {
       for (Machine machine : silent) {
-        if (now.past(machine.heard(), policy.suspectAfter())) {
+        // One machine that does not answer a new leader holds up all older jobs.
+        if (machine.state() == Machine.State.UNCONFIRMED
+            || now.past(machine.heard(), policy.suspectAfter())) {
           LOG.info("machine {} is silent, {} tasks", machine.id(), machine.placements().size());
           returnMachine(machine);
         }
@@ -239,7 +251,14 @@
         });
   }
 
-  private record Need(double total, double ordinary) {}
+  /** Machines that the open jobs ask for; tight is the part that can't wait for a boot. */
+  private record Need(double total, double ordinary, double tight) {
+    static final Need NONE = new Need(0, 0, 0);
+
+    Need plus(Need other) {
+      return new Need(total + other.total, ordinary + other.ordinary, tight + other.tight);
+    }
+  }
 
   private void plan(Moment now, WallTime wall) {
     Map<String, Need> needs = new HashMap<>();
@@ -251,22 +270,35 @@
           boolean spot = job.spec().spotAllowed();
           needs.merge(
               type.name(),
-              new Need(machines, spot ? 0 : machines),
-              (a, b) -> new Need(a.total() + b.total(), a.ordinary() + b.ordinary()));
+              new Need(
+                  machines, spot ? 0 : machines, demand.tight(job.spec(), type) ? machines : 0),
+              Need::plus);
         }
       }
     }
-    double fade = Math.pow(0.5, PLAN_EVERY.asSeconds() / PEAK_HALVES_IN_SECONDS);
     for (MachineType type : types.values()) {
-      Need need = needs.getOrDefault(type.name(), new Need(0, 0));
-      // What could not be rented was not used either, so it is no measure for what is kept.
-      double kept = Math.min(peaks.getOrDefault(type.name(), 0.0), held(type));
-      double peak = Math.max(need.total(), kept * fade);
-      peaks.put(type.name(), peak);
-      adjust(type, need, peak, now);
+      Need need = needs.getOrDefault(type.name(), Need.NONE);
+      double tight = peak(tightPeaks, type, need.tight(), TIGHT_HALVES_IN_SECONDS);
+      double loose = peak(loosePeaks, type, need.total() - need.tight(), LOOSE_HALVES_IN_SECONDS);
+      double ready =
+          tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM);
+      // With nothing to do at all, the spare machines go as well.
+      int wanted = need.total() <= 0 ? 0 : (int) Math.ceil(ready) + policy.spareMachines();
+      adjust(type, need, wanted, now);
     }
   }
 
+  /** The most that was asked for of late; it fades by half again and again. */
+  private double peak(
+      Map<String, Double> peaks, MachineType type, double asked, double halvesInSeconds) {
+    double fade = Math.pow(0.5, PLAN_EVERY.asSeconds() / halvesInSeconds);
+    // What could not be rented was not used either, so it is no measure for what is kept.
+    double kept = Math.min(peaks.getOrDefault(type.name(), 0.0), held(type));
+    double peak = Math.max(asked, kept * fade);
+    peaks.put(type.name(), peak);
+    return peak;
+  }
+
   private int held(MachineType type) {
     int held = 0;
     for (Machine machine : fleet.machines()) {
@@ -293,7 +325,7 @@
     return best;
   }
 
-  private void adjust(MachineType type, Need need, double peak, Moment now) {
+  private void adjust(MachineType type, Need need, int wanted, Moment now) {
     int ordinary = 0;
     int spot = 0;
     for (Machine machine : fleet.machines()) {
@@ -302,20 +334,16 @@
         spot += machine.spot() ? 1 : 0;
       }
     }
-    // With nothing to do at all, the spare machines go as well.
-    boolean idleAll = need.total() <= 0;
-    int wanted =
-        idleAll ? 0 : (int) Math.ceil(peak * (1 + policy.headroom())) + policy.spareMachines();
     int wantedOrdinary =
-        idleAll ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
+        wanted == 0 ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
     int missing = wanted - ordinary - spot;
     summary =
         String.format(
             Locale.ROOT,
-            "need %.1f (ordinary %.1f) peak %.1f wanted %d held %d",
+            "need %.1f (ordinary %.1f, tight %.1f) wanted %d held %d",
             need.total(),
             need.ordinary(),
-            peak,
+            need.tight(),
             wanted,
             ordinary + spot);
     if (missing > 0) {
--- a/src/main/java/org/oakwalk/core/capacity/Demand.java
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -39,6 +39,18 @@
     return Math.min(open, Math.max(Math.ceil(open / waves), job.activeCount()));
   }
 
+  /**
+   * Whether machines rented when a job of this kind comes would be too late for it, so that room
+   * for the next one has to stand ready.
+   */
+  boolean tight(JobSpec spec, MachineType type) {
+    if (spec.service()) {
+      return true;
+    }
+    Span slack = target(spec).minus(runTimes.expected(spec)).minus(type.fetch(spec.imageGb()));
+    return slack.compareTo(type.boot().times(2)) < 0;
+  }
+
   private Span target(JobSpec spec) {
     Span target = spec.due().orElse(DEFAULT_TARGET);
     for (Settings.Objective objective : objectives) {
