--- /dev/null
+++ b/src/main/java/org/oakwalk/cli/RehearseCommand.java
@@ -0,0 +1,66 @@
+package org.oakwalk.cli;
+
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.oakwalk.core.Policy;
+import org.oakwalk.daemon.Daemon;
+import org.oakwalk.daemon.PlatformSettings;
+import picocli.CommandLine.Command;
+
+/**
+ * Starts a node that has nothing around it, asks it whether it is ready, and ends. The build does
+ * this to note which classes a start needs, since a start's time is a failover's time.
+ */
+@Command(
+    name = "rehearse",
+    description = "Starts a node with nothing around it and ends (used by the build).",
+    mixinStandardHelpOptions = true)
+final class RehearseCommand implements Callable<Integer> {
+  private static final String SETTINGS =
+      """
+      node = "rehearsal"
+      domain = "none"
+      serve_on = "127.0.0.1:0"
+      cluster_listen = "127.0.0.1:0"
+      [outside]
+      cloud = "127.0.0.1:1"
+      state = "127.0.0.1:1"
+      [facts]
+      zones = ["none"]
+      [facts.workers]
+      report_s = 1.0
+      lease_s = 10.0
+      cancel_s = 30.0
+      [facts.state]
+      rps = 10.0
+      write_rps = 10.0
+      value_kb = 4.0
+      txn_ops = 8
+      [facts.cloud]
+      rps = 1.0
+      list_lag_s = 1.0
+      """;
+
+  @Override
+  public Integer call() throws Exception {
+    Path file = Files.createTempFile("rehearsal", ".toml");
+    try {
+      Files.writeString(file, SETTINGS);
+      try (Daemon daemon = new Daemon(PlatformSettings.read(file), Policy.defaults())) {
+        for (String path : new String[] {"/ready", "/v2/runs/j-1"}) {
+          URI uri = URI.create("http://127.0.0.1:" + daemon.frontPort() + path);
+          HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
+          if (connection.getResponseCode() != HttpURLConnection.HTTP_UNAVAILABLE) {
+            return 1;
+          }
+        }
+      }
+    } finally {
+      Files.delete(file);
+    }
+    return 0;
+  }
+}
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -40,7 +40,7 @@
   private static final Span CONFIRMS_WITHIN = Span.seconds(4);
   private static final int MOST_PER_ASK = 20;
   private static final int MOST_RELEASED = 100;
-  private static final double TIGHT_HALVES_IN_SECONDS = 240;
+  private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
   private static final double LOOSE_HEADROOM = 0.3;
 
--- a/src/main/java/org/oakwalk/core/capacity/Demand.java
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -12,6 +12,7 @@
 
 /** How much room the open jobs need to be in time. */
 final class Demand {
+  private static final double SOONEST_BOOTS = 1.4;
   private static final Span DEFAULT_TARGET = Span.seconds(120);
 
   private final List<Settings.Objective> objectives;
@@ -48,7 +49,7 @@
       return true;
     }
     Span slack = target(spec).minus(runTimes.expected(spec)).minus(type.fetch(spec.imageGb()));
-    return slack.compareTo(type.boot().times(2)) < 0;
+    return slack.compareTo(type.boot().times(SOONEST_BOOTS)) < 0;
   }
 
   private Span target(JobSpec spec) {
--- /dev/null
+++ b/src/test/java/org/oakwalk/cli/CommandLineTest.java
@@ -0,0 +1,53 @@
+package org.oakwalk.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+/** The command line: exit codes, and one clear line for what is wrong. */
+class CommandLineTest {
+  private final StringWriter out = new StringWriter();
+  private final StringWriter err = new StringWriter();
+
+  private int run(String... args) {
+    CommandLine line = Main.commandLine();
+    line.setOut(new PrintWriter(out, true));
+    line.setErr(new PrintWriter(err, true));
+    return line.execute(args);
+  }
+
+  @Test
+  void namesAFileThatIsMissing() {
+    assertThat(run("check", "--config", "no/such.toml")).isEqualTo(2);
+    assertThat(err.toString().lines())
+        .singleElement()
+        .asString()
+        .contains("no/such.toml: no such file");
+  }
+
+  @Test
+  void wantsItsSettings() {
+    assertThat(run()).isEqualTo(2);
+    assertThat(err.toString()).contains("--config");
+  }
+
+  @Test
+  void refusesAnUnknownOption() {
+    assertThat(run("--colour")).isEqualTo(2);
+  }
+
+  @Test
+  void helps() {
+    assertThat(run("--help")).isZero();
+    assertThat(out.toString()).contains("--config", "--policy", "check");
+    assertThat(run("--version")).isZero();
+  }
+
+  @Test
+  void aNodeWithNothingAroundItStartsAndEnds() {
+    assertThat(run("rehearse")).isZero();
+  }
+}
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -6,10 +6,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
@@ -301,4 +304,22 @@
     assertThat(json(bytes))
         .isEqualTo("{\"ref\":\"j-000412\",\"status\":\"withdrawn\",\"done\":3,\"running\":13}");
   }
+
+  @Test
+  void theExamplesOfTheUsersPageAreTrue() throws Exception {
+    List<String> examples =
+        Pattern.compile("```json\n(.*?)```", Pattern.DOTALL)
+            .matcher(Files.readString(Path.of("docs/api.md")))
+            .results()
+            .map(match -> match.group(1))
+            .toList();
+    assertThat(examples).hasSize(2);
+    UserRequest.Submit submission = UserCodec.submission(packed(examples.get(0)));
+    assertThat(submission.problem()).isEmpty();
+    assertThat(submission.spec()).isPresent();
+    byte[] status =
+        UserCodec.status(
+            new Response.JobStatus(false, submission.job(), Response.JobState.RUNNING, 3, 13));
+    assertThat(JSON.readTree(examples.get(1))).isEqualTo(JSON.readTree(json(status)));
+  }
 }
