--- a/deploy/policy.example.hcl
+++ b/deploy/policy.example.hcl
@@ -25,6 +25,6 @@
   spare_machines  = 2
   idle_s          = 40
   spot_share      = 0.5
-  suspect_after_s = 8
+  suspect_after_s = 5
   boot_patience_s = 120
 }
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.oakwalk.core.AskId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Policy;
@@ -35,18 +34,13 @@
   private static final Logger LOG = LoggerFactory.getLogger(Capacity.class);
   private static final Span PLAN_EVERY = Span.seconds(1);
   private static final Span RETRY = Span.seconds(1);
-  private static final Span REFUSED_PAUSE = Span.seconds(8);
   private static final Span PAID_AT_LEAST = Span.seconds(60);
   private static final Span CONFIRMS_WITHIN = Span.seconds(4);
-  private static final int MOST_PER_ASK = 20;
   private static final int MOST_RELEASED = 100;
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
   private static final double LOOSE_HEADROOM = 0.3;
 
-  /** Where and how machines of one sort are rented. */
-  private record Market(String type, String zone, boolean spot) {}
-
   private final Outbox outbox;
   private final Fleet fleet;
   private final JobBook jobs;
@@ -55,8 +49,7 @@
   private final Settings.CloudLimits limits;
   private final Span suspectAfter;
   private final Demand demand;
-  private final Map<Market, Moment> refusedUntil = new HashMap<>();
-  private final Set<Market> asking = new HashSet<>();
+  private final Renter renter;
   private final Map<MachineId, Moment> firstListed = new HashMap<>();
   private final Set<MachineId> returned = new HashSet<>();
   private final Set<Machine> releasing = new HashSet<>();
@@ -64,10 +57,8 @@
   private Moment nextPlan = new Moment(Long.MIN_VALUE / 2);
   private Moment nextList = new Moment(Long.MIN_VALUE / 2);
   private Moment nextRelease = new Moment(Long.MIN_VALUE / 2);
-  private Moment clock = new Moment(0);
   private String summary = "";
   private boolean listing;
-  private long asks;
   private final Map<String, Double> tightPeaks = new HashMap<>();
   private final Map<String, Double> loosePeaks = new HashMap<>();
 
@@ -87,13 +78,13 @@
     this.policy = policy;
     this.limits = settings.cloud();
     this.suspectAfter = suspectAfter;
+    this.renter = new Renter(outbox, fleet);
     this.demand = new Demand(settings.objectives(), runTimes);
   }
 
   /** Follows the fleet; rents only once it is known what there is. */
   public void tick(Map<String, MachineType> known, boolean recovered, Moment now, WallTime wall) {
     types = known;
-    clock = now;
     if (types.isEmpty()) {
       return;
     }
@@ -353,12 +344,12 @@
       int flexible = Math.max(0, wanted - wantedOrdinary);
       int wantedSpot = (int) Math.floor(flexible * policy.spotShare());
       int askSpot = Math.min(missing, Math.max(0, wantedSpot - spot));
-      int left = askSpot > 0 ? missing - rent(type, true, askSpot, now) : missing;
+      int left = askSpot > 0 ? missing - renter.rent(type, true, askSpot, now) : missing;
       if (left > 0) {
-        left -= rent(type, false, left, now);
+        left -= renter.rent(type, false, left, now);
       }
       if (left > 0 && flexible > spot) {
-        rent(type, true, left, now);
+        renter.rent(type, true, left, now);
       }
     } else if (missing < 0) {
       retire(type, -missing, ordinary - wantedOrdinary, now);
@@ -426,78 +417,4 @@
       case LAPSED, RETURNING, GONE -> false;
     };
   }
-
-  /** Asks for machines in the zones that have fewest; returns for how many it asked. */
-  private int rent(MachineType type, boolean spot, int count, Moment now) {
-    Map<String, Integer> held = new HashMap<>();
-    for (Machine machine : fleet.machines()) {
-      if (machine.type().name().equals(type.name()) && machine.spot() == spot) {
-        held.merge(machine.zone(), 1, Integer::sum);
-      }
-    }
-    List<String> zones = new ArrayList<>(type.zones());
-    zones.removeIf(zone -> !free(new Market(type.name(), zone, spot), now));
-    zones.sort(
-        Comparator.comparingInt((String zone) -> held.getOrDefault(zone, 0))
-            .thenComparing(Comparator.naturalOrder()));
-    int asked = 0;
-    for (int i = 0; i < zones.size() && asked < count; i++) {
-      int share = (int) Math.ceil((count - asked) / (double) (zones.size() - i));
-      int number = Math.min(share, MOST_PER_ASK);
-      asked += number;
-      ask(new Market(type.name(), zones.get(i), spot), AskId.of(fleet.token(), ++asks), number, 5);
-    }
-    for (Market market : asking) {
-      if (market.type().equals(type.name()) && market.spot() == spot && asked == 0) {
-        // An answer is still out; it may bring what is missing.
-        return count;
-      }
-    }
-    return asked;
-  }
-
-  private boolean free(Market market, Moment now) {
-    Moment until = refusedUntil.get(market);
-    return !asking.contains(market) && (until == null || !until.isAfter(now));
-  }
-
-  /** Rents under a name of its own, which is repeated until the cloud has answered. */
-  private void ask(Market market, AskId name, int count, int tries) {
-    asking.add(market);
-    outbox.call(
-        new Request.Rent(name, market.type(), market.zone(), market.spot(), count),
-        answer -> {
-          if (answer instanceof Answer.Rented rented) {
-            asking.remove(market);
-            LOG.info(
-                "{} rented {} of {} in {} spot {}",
-                name,
-                rented.machines().size(),
-                count,
-                market.zone(),
-                market.spot());
-            for (MachineId id : rented.machines()) {
-              if (fleet.find(id).isEmpty()) {
-                fleet.add(
-                    id,
-                    "",
-                    market.type(),
-                    market.zone(),
-                    market.spot(),
-                    Machine.State.BOOTING,
-                    clock);
-              }
-            }
-            if (rented.machines().size() < count) {
-              refusedUntil.put(market, clock.plus(REFUSED_PAUSE));
-            }
-          } else if (answer instanceof Answer.Nothing && tries > 1) {
-            ask(market, name, count, tries - 1);
-          } else {
-            // No capacity, or no answer for long; machines that came of it show up in the list.
-            asking.remove(market);
-            refusedUntil.put(market, clock.plus(REFUSED_PAUSE));
-          }
-        });
-  }
 }
