--- a/deploy/policy.example.hcl
+++ b/deploy/policy.example.hcl
@@ -11,7 +11,7 @@
 }
 
 hosts {
-  mark                 = 0.9
+  mark                 = 1.0
   image_weight         = 1.0
   reserve_after_rounds = 2
 }
