Close three gaps in the argument against running a task twice

Leases are now taken for over only after a read of the store that began after their end; doubt ends only with proof. A registered machine of an unknown type is no longer left out of recovery.

--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -90,7 +90,7 @@
   public Room unconfirmedRoom() {
     Room sum = Room.NONE;
     for (Machine machine : machines.values()) {
-      if (machine.state() == Machine.State.UNCONFIRMED) {
+      if (machine.inDoubt()) {
         sum = sum.plus(machine.type().room());
       }
     }
@@ -99,10 +99,10 @@
 
   /** Whether an attempt that an earlier leader ordered may be on a machine unseen. */
   public boolean anyUnconfirmed() {
-    return machines.values().stream().anyMatch(m -> m.state() == Machine.State.UNCONFIRMED);
+    return machines.values().stream().anyMatch(Machine::inDoubt);
   }
 
-  /** Adds a machine; without its type nothing can be said of its room, and it is left out. */
+  /** Adds a machine; without its type it is left out, unless older leaders may have used it. */
   public Optional<Machine> add(
       MachineId id,
       String address,
@@ -112,10 +112,13 @@
       Machine.State state,
       Moment known) {
     MachineType kind = types.get(type);
-    if (kind == null) {
+    if (kind == null && state != Machine.State.UNCONFIRMED) {
       return Optional.empty();
     }
-    Machine machine = new Machine(id, address, kind, zone, spot, state, known);
+    boolean typeKnown = kind != null;
+    Machine machine =
+        new Machine(id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, known);
+    machine.drain(!typeKnown);
     machines.put(id, machine);
     return Optional.of(machine);
   }
@@ -125,6 +128,15 @@
     return Attempt.of(token, ++attempts);
   }
 
+  /**
+   * Stands in for the type of a registered machine that the cloud no longer offers. Whatever runs
+   * there fits, which makes quotas err on the safe side; new tasks it gets none.
+   */
+  private static MachineType withoutBounds(String name) {
+    Room all = new Room(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE);
+    return new MachineType(name, all, 0, 0, 0, 0, Span.seconds(0), List.of());
+  }
+
   /** Puts a task on a machine. The order goes out by command or with the next response. */
   public Placement place(Job job, int index, Attempt attempt, Machine machine, Moment now) {
     Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, now);
@@ -209,11 +221,16 @@
     }
     report.notice().ifPresent(left -> notice(report, left, now));
     reconcile(machine, report, now);
+    if (machine.inDoubt() && report.token().equals(token)) {
+      // Until this report an older leader may have renewed its lease.
+      machine.renewed(now);
+      machine.settled();
+    }
     switch (machine.state()) {
       case BOOTING -> machine.enter(Machine.State.ENROLLING);
       case LAPSED -> up(machine);
       case UNCONFIRMED -> {
-        if (report.token().equals(token)) {
+        if (!machine.inDoubt()) {
           up(machine);
         }
       }
@@ -425,19 +442,32 @@
     Span lease = timing.lease().surelyPassed().plus(LAPSE_MARGIN);
     for (Machine machine : machines.values()) {
       Moment renewed = machine.renewed();
-      boolean unconfirmed = machine.state() == Machine.State.UNCONFIRMED;
-      if (unconfirmed && lastForeignRenewal.isAfter(renewed)) {
+      if (machine.inDoubt() && lastForeignRenewal.isAfter(renewed)) {
         renewed = lastForeignRenewal;
       }
-      if ((unconfirmed || machine.state() == Machine.State.UP) && now.past(renewed, lease)) {
+      // A later leader may renew leases as well. Only a read of the store that began after the
+      // lease
+      // had run out, and still showed this leader, tells that nobody did.
+      if (mayLapse(machine) && view.contact().past(renewed, lease)) {
         LOG.info("machine {} has lapsed with {} tasks", machine.id(), machine.placements().size());
-        machine.enter(Machine.State.LAPSED);
+        if (machine.state() != Machine.State.RETURNING) {
+          machine.enter(Machine.State.LAPSED);
+        }
         machine.endSession();
+        machine.settled();
         loseAll(machine, now);
       }
     }
   }
 
+  private static boolean mayLapse(Machine machine) {
+    return switch (machine.state()) {
+      case UNCONFIRMED, UP -> true;
+      case RETURNING -> machine.inDoubt() || !machine.idle();
+      case BOOTING, ENROLLING, LAPSED, GONE -> false;
+    };
+  }
+
   /** The machine is to be returned; what is on it counts until the cloud has confirmed. */
   public void returning(Machine machine) {
     machine.enter(Machine.State.RETURNING);
@@ -451,8 +481,4 @@
     gone.add(machine.id());
     LOG.info("machine {} returned", machine.id());
   }
-
-  public Span reportEvery() {
-    return timing.report();
-  }
 }
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -72,6 +72,7 @@
   private Moment idleSince;
   private Moment blockedUntil;
   private Rental.Status listed;
+  private boolean inDoubt;
   private boolean draining;
   private boolean faulty;
   private final Map<JobId, Integer> errors = new HashMap<>();
@@ -99,6 +100,7 @@
     this.zone = zone;
     this.spot = spot;
     this.state = state;
+    this.inDoubt = state == State.UNCONFIRMED;
     this.known = known;
     this.heard = known;
     this.renewed = known;
@@ -130,6 +132,18 @@
     return state;
   }
 
+  /**
+   * Whether tasks that older leaders ordered may be here unseen. Being returned does not settle
+   * that, only the cloud's confirmation does.
+   */
+  public boolean inDoubt() {
+    return inDoubt;
+  }
+
+  void settled() {
+    inDoubt = false;
+  }
+
   /** Since when this leader has known the machine; for a booting one, when it was rented. */
   public Moment known() {
     return known;
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -170,18 +170,14 @@
     if (entry.value() instanceof StoredValue.MachineRecord record) {
       MachineId id = record.id();
       registry.found(id);
-      if (fleet
-          .add(
-              id,
-              record.address(),
-              record.type(),
-              record.zone(),
-              record.spot(),
-              Machine.State.UNCONFIRMED,
-              now)
-          .isEmpty()) {
-        LOG.error("machine {} has the unknown type {}", id, record.type());
-      }
+      fleet.add(
+          id,
+          record.address(),
+          record.type(),
+          record.zone(),
+          record.spot(),
+          Machine.State.UNCONFIRMED,
+          now);
     }
   }
 
