--- /dev/null
+++ b/src/test/java/org/oakwalk/adapter/OutsideTest.java
@@ -0,0 +1,163 @@
+package org.oakwalk.adapter;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.sun.net.httpserver.HttpServer;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Request;
+
+/** Each outside system over loopback, played by a stand-in that answers as its page says. */
+class OutsideTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final ObjectMapper PACK = new ObjectMapper(new MessagePackFactory());
+  private static final NodeId PEER = new NodeId("peer");
+
+  private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+  private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+  private HttpServer standIn;
+  private String address;
+  private HttpCaller caller;
+  private Outside outside;
+
+  @BeforeEach
+  void start() throws Exception {
+    standIn = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    standIn.start();
+    address = "127.0.0.1:" + standIn.getAddress().getPort();
+    threads.start();
+    scheduler.start();
+    caller = new HttpCaller(threads, scheduler, new ArrayByteBufferPool());
+    Settings settings =
+        new Settings(
+            new NodeId("n"),
+            "a",
+            List.of(PEER),
+            List.of("a"),
+            Map.of(),
+            List.of(),
+            new Settings.Workers(Span.seconds(1), Span.seconds(10), Span.seconds(30)),
+            new Settings.StateLimits(100, 100, 4, 8),
+            new Settings.CloudLimits(10, Span.seconds(1)));
+    outside =
+        new Outside(
+            caller,
+            new Outside.Addresses(address, address, Map.of(PEER, address)),
+            settings,
+            Runnable::run,
+            0);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    caller.close();
+    scheduler.stop();
+    threads.stop();
+    standIn.stop(0);
+  }
+
+  private void answers(String path, int status, byte[] body) {
+    standIn.createContext(
+        path,
+        exchange -> {
+          exchange.getRequestBody().readAllBytes();
+          exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+  }
+
+  private static byte[] packed(String json) throws Exception {
+    return PACK.writeValueAsBytes(JSON.readTree(json));
+  }
+
+  private Answer ask(Request request) throws Exception {
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    outside.call(request, 0, answer::complete);
+    return answer.get();
+  }
+
+  @Test
+  void asksTheStateService() throws Exception {
+    answers("/watch", 200, packed("{\"epoch\":7,\"news\":[]}"));
+    answers("/leases", 200, packed("{\"hold\":3}"));
+    answers("/commit", 409, packed("{\"failed\":[\"k\"],\"epoch\":7}"));
+    Request.Watch watch =
+        new Request.Watch("c/", new Revision(1), Span.millis(0), Request.Urgency.REST);
+    assertThat(ask(watch)).isEqualTo(new Answer.Changes(new Revision(7), List.of()));
+    assertThat(ask(new Request.Grant(Span.seconds(1)))).isInstanceOf(Answer.Granted.class);
+    assertThat(ask(new Request.Commit(List.of(), List.of(), Request.Urgency.REST)))
+        .isEqualTo(new Answer.Conflict(List.of("k")));
+  }
+
+  @Test
+  void takesAnAnswerThatIsCutShortForNone() throws Exception {
+    byte[] whole = packed("{\"epoch\":7,\"entries\":[],\"more\":false}");
+    answers("/store", 200, Arrays.copyOf(whole, whole.length - 3));
+    assertThat(ask(new Request.ReadPage("c/", Optional.empty(), Request.Urgency.REST)))
+        .isInstanceOf(Answer.Nothing.class);
+  }
+
+  @Test
+  void asksTheCloud() throws Exception {
+    answers("/rentals", 503, packed("{\"error\":\"no capacity\"}"));
+    answers("/catalog", 500, packed("{}"));
+    Request.ListRentals list = new Request.ListRentals(Optional.empty());
+    assertThat(ask(list)).isEqualTo(new Answer.Refused(503, ""));
+    assertThat(ask(new Request.FetchCatalog())).isInstanceOf(Answer.Nothing.class);
+  }
+
+  @Test
+  void commandsAWorker() throws Exception {
+    answers(
+        "/do",
+        409,
+        packed(
+            "{\"host\":\"host-1\",\"addr\":\"x:1\",\"flavor\":\"g\",\"region\":\"a\","
+                + "\"leftovers\":false,\"shift\":2,\"tick\":5,\"baton\":9,\"pieces\":[]}"));
+    Answer answer = ask(new Request.Command(address, new Token(4), SessionId.FIRST, List.of()));
+    assertThat(answer).isInstanceOf(Answer.Commanded.class);
+    assertThat(((Answer.Commanded) answer).executed()).isFalse();
+    assertThat(((Answer.Commanded) answer).report().token()).isEqualTo(new Token(9));
+  }
+
+  @Test
+  void tellsAPeer() throws Exception {
+    answers(
+        "/peer",
+        200,
+        new CBORMapper()
+            .writeValueAsBytes(
+                JSON.readTree("{\"sort\":\"acknowledged\",\"from\":\"peer\",\"settled\":true}")));
+    PeerMessage digest = new PeerMessage.Digest(new NodeId("n"), new Token(1), true, Map.of());
+    assertThat(ask(new Request.Tell(PEER, digest)))
+        .isEqualTo(new Answer.Told(new PeerMessage.Acknowledged(PEER, true)));
+  }
+
+  @Test
+  void aRefusedConnectionCarriedNothing() throws Exception {
+    standIn.stop(0);
+    assertThat(ask(new Request.FetchCatalog())).isInstanceOf(Answer.Refused.class);
+  }
+}
