A session told of by a command's answer has a lease of its own

A worker's session ended; the answer to a command told of the next one, tasks were placed into it, and then the machine was declared lapsed by the last answered report of the session before. Ten tasks ran twice. Ruled out: an older leader's late commands (tokens are lower), a confirmed release (there was none).

--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -209,7 +209,13 @@
         || machine.stale(report.session(), report.sequence())) {
       return Optional.of(machine);
     }
+    boolean otherSession = machine.session().filter(report.session()::equals).isEmpty();
     boolean freshSession = machine.advance(report.session(), report.sequence());
+    if (otherSession) {
+      // A session begins with a lease of its own, whoever told of it. Counted from the last answer
+      // in the session before, it would seem to be over while tasks that came by command run.
+      machine.renewed(now);
+    }
     machine.address(report.address());
     machine.heard(now);
     if (own) {
--- a/src/test/java/org/oakwalk/scenario/SimNode.java
+++ b/src/test/java/org/oakwalk/scenario/SimNode.java
@@ -32,6 +32,7 @@
   private long exchanges;
   private final Map<ExchangeId, Consumer<Response>> open = new HashMap<>();
   private long refusedByStateUntil;
+  private long fullUntil;
 
   SimNode(World world, NodeId id, String zone) {
     this.world = world;
@@ -65,6 +66,11 @@
     refusedByStateUntil = world.time.now() + Math.round(seconds * 1000);
   }
 
+  /** It has no free sockets: nobody new gets through to it, while it reaches everybody. */
+  void full(double seconds) {
+    fullUntil = world.time.now() + Math.round(seconds * 1000);
+  }
+
   private void tick(int of) {
     if (up && of == life) {
       handle(new Event.Tick());
@@ -153,6 +159,9 @@
   }
 
   void report(Report report, Consumer<Response> then) {
+    if (world.time.now() < fullUntil) {
+      return;
+    }
     take(exchange -> new Event.WorkerReports(exchange, report), then);
   }
 
