Share out the sockets; commands wait for one, and don't keep it where they are few

Ruled out: failed boots (1% by the site, 7% seen), the cloud's late lists. What finds no socket in a second goes out with the next response.

--- a/src/main/java/org/oakwalk/adapter/HttpCaller.java
+++ b/src/main/java/org/oakwalk/adapter/HttpCaller.java
@@ -12,8 +12,11 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.ConnectionStatistics;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -29,12 +32,16 @@
 public final class HttpCaller implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(HttpCaller.class);
   private static final int LARGEST_ANSWER = 8 << 20;
+  private static final long IDLE_MILLIS = 30_000;
 
   private final HttpClient client;
   private final Set<String> complained = ConcurrentHashMap.newKeySet();
+  private final ConnectionStatistics connections = new ConnectionStatistics();
+  private final Sockets sockets;
 
-  public HttpCaller(Executor executor, Scheduler scheduler, ByteBufferPool buffers)
+  public HttpCaller(Executor executor, Scheduler scheduler, ByteBufferPool buffers, Sockets sockets)
       throws Exception {
+    this.sockets = sockets;
     ClientConnector connector = new ClientConnector();
     connector.setSelectors(1);
     connector.setExecutor(executor);
@@ -51,7 +58,9 @@
     client.setUserAgentField(null);
     client.setMaxConnectionsPerDestination(16);
     client.setMaxRequestsQueuedPerDestination(256);
-    client.setIdleTimeout(60_000);
+    client.setIdleTimeout(IDLE_MILLIS);
+    client.setDestinationIdleTimeout(2 * IDLE_MILLIS);
+    client.addBean(connections);
     client.start();
   }
 
@@ -66,6 +75,11 @@
     if (message.body() != null) {
       http.body(new BytesRequestContent("application/msgpack", message.body()));
     }
+    if (request instanceof Request.Command && connections.getConnections() >= sockets.kept()) {
+      // One connection kept for each worker, beside the one by which it reports, would use up all
+      // sockets of a node that leads a large fleet, and then workers could not report any more.
+      http.headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
+    }
     http.send(
         new BufferingResponseListener(LARGEST_ANSWER) {
           @Override
--- a/src/main/java/org/oakwalk/adapter/Listener.java
+++ b/src/main/java/org/oakwalk/adapter/Listener.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -48,12 +49,16 @@
       ByteBufferPool buffers,
       Address serve,
       Address peers,
+      Sockets sockets,
       Sink sink) {
     this.sink = sink;
     server = new Server(threads, scheduler, buffers);
     server.setStopTimeout(0);
     front = connector(serve, "front");
     back = connector(peers, PEERS);
+    NetworkConnectionLimit limit = new NetworkConnectionLimit(sockets.front(), front);
+    limit.setEndPointIdleTimeout(sockets.idle().millis());
+    front.addBean(limit);
     server.addConnector(front);
     server.addConnector(back);
     Inbound inFront = new Inbound(this::offer, false);
--- a/src/main/java/org/oakwalk/adapter/Outside.java
+++ b/src/main/java/org/oakwalk/adapter/Outside.java
@@ -1,7 +1,9 @@
 package org.oakwalk.adapter;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -22,6 +24,7 @@
   private static final long PEER_TIMEOUT = 1_500;
   private static final long WATCH_GRACE = 1_500;
   private static final long LONGEST_QUEUE_WAIT = 2_500;
+  private static final long LONGEST_COMMAND_WAIT = 1_000;
   private static final int LONGEST_QUEUE = 400;
   private static final int MOST_TRIES = 4;
   private static final int TOO_MANY = 429;
@@ -47,10 +50,20 @@
       new PriorityQueue<>(
           Comparator.comparingInt(Waiting::rank).thenComparingLong(Waiting::number));
   private final List<Waiting> cloudQueue = new ArrayList<>();
+  private final Deque<Waiting> commandQueue = new ArrayDeque<>();
+  private final int mostCommands;
+  private int commandsOut;
   private long numbers;
   private long clock;
 
-  public Outside(HttpCaller caller, Addresses addresses, Settings settings, Later later, long now) {
+  public Outside(
+      HttpCaller caller,
+      Addresses addresses,
+      Settings settings,
+      Sockets sockets,
+      Later later,
+      long now) {
+    this.mostCommands = sockets.commands();
     this.caller = caller;
     this.addresses = addresses;
     this.later = later;
@@ -77,7 +90,8 @@
       cloudQueue.add(new Waiting(request, 0, ++numbers, now, 1, then));
       pump(now);
     } else if (request instanceof Request.Command command) {
-      send(command.address(), request, WORKER_TIMEOUT, then);
+      commandQueue.add(new Waiting(command, 0, ++numbers, now, 1, then));
+      pumpCommands(now);
     } else if (request instanceof Request.Tell tell) {
       send(addresses.peers().get(tell.node()), request, PEER_TIMEOUT, then);
     }
@@ -85,6 +99,7 @@
 
   /** Sends what the budgets allow by now. */
   public void pump(long now) {
+    pumpCommands(now);
     while (!stateQueue.isEmpty()) {
       Waiting next = stateQueue.peek();
       int cost = ((Request.State) next.request()).writes();
@@ -112,6 +127,33 @@
     }
   }
 
+  /**
+   * Sends commands while sockets allow. One that has to wait for long is given up unsent: its
+   * orders go out with the answer to the worker's next report.
+   */
+  private void pumpCommands(long now) {
+    while (!commandQueue.isEmpty()) {
+      Waiting next = commandQueue.peek();
+      if (now - next.since() > LONGEST_COMMAND_WAIT) {
+        commandQueue.poll();
+        next.then().accept(new Answer.Refused(0, "no socket"));
+      } else if (commandsOut < mostCommands) {
+        commandQueue.poll();
+        commandsOut++;
+        send(
+            ((Request.Command) next.request()).address(),
+            next.request(),
+            WORKER_TIMEOUT,
+            answer -> {
+              commandsOut--;
+              next.then().accept(answer);
+            });
+      } else {
+        return;
+      }
+    }
+  }
+
   private void stateAnswered(Waiting sent, Answer answer) {
     if (answer instanceof Answer.Refused refused && refused.status() == TOO_MANY) {
       long now = clock;
--- a/src/main/java/org/oakwalk/daemon/Daemon.java
+++ b/src/main/java/org/oakwalk/daemon/Daemon.java
@@ -42,17 +42,24 @@
             + Long.toHexString(System.currentTimeMillis())
             + Long.toHexString(RandomSource.createLong());
     loop = new EventLoop(new Controller(settings.core(), policy, incarnation));
-    caller = new HttpCaller(threads, scheduler, buffers);
+    caller = new HttpCaller(threads, scheduler, buffers, settings.sockets());
     Outside outside =
         new Outside(
             caller,
             new Outside.Addresses(settings.state(), settings.cloud(), settings.peers()),
             settings.core(),
+            settings.sockets(),
             loop::later,
             EventLoop.steadyMillis());
     listener =
         new Listener(
-            threads, scheduler, buffers, settings.serveOn(), settings.peerListen(), loop::offer);
+            threads,
+            scheduler,
+            buffers,
+            settings.serveOn(),
+            settings.peerListen(),
+            settings.sockets(),
+            loop::offer);
     loop.connect(outside, listener);
     listener.start();
     thread = new Thread(loop, "core");
--- a/src/main/java/org/oakwalk/daemon/PlatformSettings.java
+++ b/src/main/java/org/oakwalk/daemon/PlatformSettings.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.oakwalk.adapter.Address;
+import org.oakwalk.adapter.Sockets;
 import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Settings;
 import org.oakwalk.core.Span;
@@ -23,7 +24,9 @@
     Address peerListen,
     Map<NodeId, String> peers,
     String cloud,
-    String state) {
+    String state,
+    Sockets sockets) {
+  private static final double DEFAULT_SOCKETS = 1024;
 
   /** Reads and checks the file. */
   public static PlatformSettings read(Path file) throws BadSettings {
@@ -74,7 +77,17 @@
           address("cluster_listen"),
           peers,
           outside.text("cloud"),
-          outside.text("state"));
+          outside.text("state"),
+          facts.sockets(core.workers().report()));
+    }
+
+    private Sockets sockets(Span report) throws BadSettings {
+      int total = (int) DEFAULT_SOCKETS;
+      if (node.has("quota")) {
+        total = (int) table("quota").number("fd_limit", 64, 1e6, DEFAULT_SOCKETS);
+      }
+      // A worker that reports in time is never idle for so long.
+      return new Sockets(total, report.times(2).plus(Span.seconds(1)));
     }
 
     private Map<String, Settings.Team> teams() throws BadSettings {
--- a/src/test/java/org/oakwalk/adapter/OutsideTest.java
+++ b/src/test/java/org/oakwalk/adapter/OutsideTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -36,6 +37,7 @@
 
   private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
   private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+  private final Sockets sockets = new Sockets(64, Span.seconds(5));
   private HttpServer standIn;
   private String address;
   private HttpCaller caller;
@@ -48,7 +50,7 @@
     address = "127.0.0.1:" + standIn.getAddress().getPort();
     threads.start();
     scheduler.start();
-    caller = new HttpCaller(threads, scheduler, new ArrayByteBufferPool());
+    caller = new HttpCaller(threads, scheduler, new ArrayByteBufferPool(), sockets);
     Settings settings =
         new Settings(
             new NodeId("n"),
@@ -65,6 +67,7 @@
             caller,
             new Outside.Addresses(address, address, Map.of(PEER, address)),
             settings,
+            sockets,
             Runnable::run,
             0);
   }
@@ -155,6 +158,53 @@
         .isEqualTo(new Answer.Told(new PeerMessage.Acknowledged(PEER, true)));
   }
 
+  @Test
+  void givesUpACommandThatFindsNoSocketForLong() throws Exception {
+    CountDownLatch blocked = new CountDownLatch(1);
+    standIn.createContext(
+        "/do",
+        exchange -> {
+          try {
+            blocked.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          exchange.close();
+        });
+    Request command = new Request.Command(address, new Token(4), SessionId.FIRST, List.of());
+    for (int i = 0; i < sockets.commands(); i++) {
+      outside.call(command, 0, answer -> {});
+    }
+    CompletableFuture<Answer> last = new CompletableFuture<>();
+    outside.call(command, 0, last::complete);
+    outside.pump(900);
+    assertThat(last).isNotDone();
+    outside.pump(1100);
+    assertThat(last.get()).isInstanceOf(Answer.Refused.class);
+    blocked.countDown();
+  }
+
+  @Test
+  void keepsNoConnectionAfterACommandWhereSocketsAreFew() throws Exception {
+    CompletableFuture<String> header = new CompletableFuture<>();
+    standIn.createContext(
+        "/do",
+        exchange -> {
+          header.complete(exchange.getRequestHeaders().getFirst("Connection"));
+          exchange.sendResponseHeaders(400, -1);
+          exchange.close();
+        });
+    Request command = new Request.Command(address, new Token(4), SessionId.FIRST, List.of());
+    try (HttpCaller frugal =
+        new HttpCaller(
+            threads, scheduler, new ArrayByteBufferPool(), new Sockets(8, Span.seconds(1)))) {
+      CompletableFuture<Answer> answer = new CompletableFuture<>();
+      frugal.send(address, command, 3000, answer::complete);
+      answer.get();
+    }
+    assertThat(header.get()).isEqualToIgnoringCase("close");
+  }
+
   @Test
   void aRefusedConnectionCarriedNothing() throws Exception {
     standIn.stop(0);
--- a/src/test/java/org/oakwalk/daemon/SettingsTest.java
+++ b/src/test/java/org/oakwalk/daemon/SettingsTest.java
@@ -52,6 +52,8 @@
       [facts.cloud]
       rps = 4.0
       list_lag_s = 6.0
+      [facts.quota]
+      fd_limit = 1200
       """;
 
   @TempDir private Path folder;
@@ -82,7 +84,8 @@
         "serve_on = \"127.0.0.1:0\" | serve_on = \"here\" | serve_on",
         "addr = \"127.0.0.1:9\" | addr = \"127.0.0.1:99999\" | members[0].addr",
         "zones = [\"a\"] | zones = \"a\" | facts.zones",
-        "name = \"crew\" | name = [] | facts.teams[0].name"
+        "name = \"crew\" | name = [] | facts.teams[0].name",
+        "fd_limit = 1200 | fd_limit = 12 | facts.quota.fd_limit"
       })
   void namesFileAndField(String good, String bad, String field) throws Exception {
     Path file = file(TOML.replace(good, bad));
