Slow machines are told by tasks that run far longer than others of their own job

Change: a task that has run twice as long as others of its job usually do is late; three late ones, less those in time, make a machine slow. It gets no more and is returned when empty.

--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.ResultWriter;
+import org.oakwalk.core.placement.Pace;
 import org.oakwalk.core.placement.Placer;
 import org.oakwalk.core.placement.Quota;
 import org.oakwalk.core.placement.RunTimes;
@@ -46,6 +47,7 @@
   private final ResultWriter results;
   private final Recovery recovery;
   private final RunTimes runTimes = new RunTimes();
+  private final Pace pace = new Pace(runTimes);
   private final Placer placer;
   private final Capacity capacity;
   private boolean roundDue = true;
@@ -189,6 +191,7 @@
     }
     if (regular) {
       nextRegular = now.plus(policy.round());
+      pace.survey(fleet.machines(), now);
     }
     roundDue = false;
     lastRound = now;
@@ -244,9 +247,10 @@
   }
 
   @Override
-  public void completed(Job job, Machine machine, Span ran) {
+  public void completed(Placement placement, Span ran) {
     if (ran != null) {
-      runTimes.learn(job, ran);
+      pace.completed(placement, ran);
+      runTimes.learn(placement.job(), ran);
     }
   }
 
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -176,8 +176,11 @@
           up++;
           if (now.past(machine.heard(), suspectAfter)) {
             silent.add(machine);
-          } else if (machine.faulty() && !machine.draining()) {
-            LOG.info("machine {} fails its tasks and is left out", machine.id());
+          } else if (unfit(machine) && !machine.draining()) {
+            LOG.info(
+                "machine {} {} and is left out",
+                machine.id(),
+                machine.slow() ? "is slow" : "fails its tasks");
             machine.drain(true);
           }
           if (machine.draining() && machine.idle() && now.past(machine.known(), PAID_AT_LEAST)) {
@@ -211,6 +214,10 @@
     }
   }
 
+  private static boolean unfit(Machine machine) {
+    return machine.faulty() || machine.slow();
+  }
+
   private void returnMachine(Machine machine) {
     fleet.returning(machine);
     releasing.add(machine);
@@ -364,7 +371,7 @@
           && machine.type().name().equals(type.name())
           && machine.state() == Machine.State.UP
           && machine.draining()
-          && !machine.faulty()
+          && !unfit(machine)
           && machine.reclaimedAt() == null
           && !now.past(machine.heard(), suspectAfter)) {
         machine.drain(false);
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -34,11 +34,12 @@
 public final class Fleet {
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final Span LAPSE_MARGIN = Span.millis(500);
+  private static final double MISSED_REPORTS = 2.2;
 
   /** Told what becomes of tasks. */
   public interface Listener {
-    /** A task completed on a machine after running this long; the span is null if unknown. */
-    void completed(Job job, Machine machine, Span ran);
+    /** A task completed after running this long; the span is null if unknown. */
+    void completed(Placement placement, Span ran);
 
     /** A task was put on a machine. */
     void placed(Job job, Moment now);
@@ -217,6 +218,10 @@
       machine.renewed(now);
     }
     machine.address(report.address());
+    if (now.past(machine.heard(), timing.report().times(MISSED_REPORTS))) {
+      // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
+      machine.placements().forEach(Placement::unwatched);
+    }
     machine.heard(now);
     if (own) {
       machine.responseSettled();
@@ -317,7 +322,8 @@
         job.complete(index, now);
         machine.succeeded();
         Moment since = placement.runningSince();
-        listener.completed(job, machine, since == null ? null : now.since(since));
+        boolean known = since != null && placement.watched();
+        listener.completed(placement, known ? now.since(since) : null);
       }
       case ERROR -> {
         LOG.info("task {} failed on {}", placement.task(), machine.id());
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -53,6 +53,9 @@
     LEGAL.put(State.GONE, EnumSet.noneOf(State.class));
   }
 
+  /** Late tasks, less those in time, after which the machine itself must be slow. */
+  private static final int SLOW_AFTER = 3;
+
   /** One attempt at one task, as orders name it. */
   public record Try(TaskId task, Attempt attempt) {}
 
@@ -75,6 +78,8 @@
   private boolean inDoubt;
   private boolean draining;
   private boolean faulty;
+  private int lateness;
+  private boolean slow;
   private final Map<JobId, Integer> errors = new HashMap<>();
   private Room used = Room.NONE;
   private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
@@ -259,6 +264,24 @@
     faulty |= errors.size() >= 3 || (count >= 3 && job.doneCount() > 0);
   }
 
+  /** A task here runs far longer than others of its job. */
+  public void late(Placement placement) {
+    if (placement.turnsLate()) {
+      lateness++;
+      slow |= lateness >= SLOW_AFTER;
+    }
+  }
+
+  /** A task ran no longer than others of its job. */
+  public void inTime() {
+    lateness = Math.max(0, lateness - 1);
+  }
+
+  /** Whether tasks take far longer here than elsewhere. */
+  public boolean slow() {
+    return slow;
+  }
+
   void succeeded() {
     errors.clear();
   }
--- a/src/main/java/org/oakwalk/core/fleet/Placement.java
+++ b/src/main/java/org/oakwalk/core/fleet/Placement.java
@@ -46,6 +46,8 @@
   private Span haltGrace;
   private boolean runCommanded;
   private Span haltCommanded;
+  private boolean watched = true;
+  private boolean late;
 
   Placement(Job job, TaskId task, Attempt attempt, Machine machine, Moment ordered) {
     this.job = job;
@@ -84,6 +86,22 @@
     return runningSince;
   }
 
+  /** Whether the machine has reported all the while, so that times mean something. */
+  public boolean watched() {
+    return watched;
+  }
+
+  void unwatched() {
+    watched = false;
+  }
+
+  /** It runs far longer than it should; true if that is new. */
+  boolean turnsLate() {
+    boolean fresh = !late;
+    late = true;
+    return fresh;
+  }
+
   /** Whether it is to be stopped. */
   public boolean halting() {
     return haltGrace != null;
--- a/src/main/java/org/oakwalk/core/placement/RunTimes.java
+++ b/src/main/java/org/oakwalk/core/placement/RunTimes.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.job.Job;
@@ -12,6 +13,7 @@
   private static final double KEEP = 0.95;
   private static final double LEAST = 0.2;
   private static final double MOST = 5;
+  private static final int ENOUGH = 4;
 
   /** How the run times of one job compare with its guess, and how many were seen. */
   private static final class Ratio {
@@ -46,6 +48,14 @@
     return spec.guess().times(factor);
   }
 
+  /** How long tasks of this job usually run, once enough of them have ended. */
+  Optional<Span> usual(JobSpec spec) {
+    Ratio job = byJob.get(spec.id());
+    return job == null || job.seen < ENOUGH
+        ? Optional.empty()
+        : Optional.of(spec.guess().times(job.mean));
+  }
+
   /** Forgets a job that is over. */
   public void forget(JobId id) {
     byJob.remove(id);
