Watches and reads of all nodes share the state service's rate

Change: a follower opens its watch again after its share of the rate, the leader a little sooner; reads are spaced by the number of nodes.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -52,7 +52,8 @@
    */
   public Controller(Settings settings, Policy policy, String incarnation) {
     this.settings = settings;
-    this.view = new StoreView(outbox, settings.state().requestsPerSecond());
+    this.view =
+        new StoreView(outbox, settings.state().requestsPerSecond(), settings.peers().size() + 1);
     Span coastLimit =
         settings.workers().cancel().minus(settings.workers().lease()).minus(COAST_MARGIN);
     this.leadership =
@@ -65,6 +66,7 @@
             new Leadership.Listener() {
               @Override
               public void rises(Token token, Moment at) {
+                view.leads(true);
                 reign =
                     Optional.of(
                         new Reign(
@@ -80,6 +82,7 @@
 
               @Override
               public void falls(Token token, Moment at) {
+                view.leads(false);
                 reign = Optional.empty();
               }
             });
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -42,10 +42,16 @@
 
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
+
+  /** Part of the rate that all nodes' reads may take together, and all nodes' watches likewise. */
+  private static final double SHARE = 0.4;
+
   private static final Span STALE = Span.millis(1800);
 
   private final Outbox outbox;
   private final Span spacing;
+  private final Span leaderSpacing;
+  private boolean leading;
   private final Map<JobId, KnownJob> jobs = new HashMap<>();
   private final List<Consumer<Boolean>> waiting = new ArrayList<>();
   private Listener listener;
@@ -65,9 +71,21 @@
   private boolean everLive;
   private Moment clock = new Moment(0);
 
-  public StoreView(Outbox outbox, double requestsPerSecond) {
+  /**
+   * A copy that is empty as yet.
+   *
+   * @param nodes how many nodes share the state service's rate
+   */
+  public StoreView(Outbox outbox, double requestsPerSecond, int nodes) {
     this.outbox = outbox;
-    this.spacing = Span.millis(Math.max(10, Math.round(5000 / requestsPerSecond)));
+    this.spacing =
+        Span.millis(Math.max(10, Math.round(1000 * nodes / (requestsPerSecond * SHARE))));
+    this.leaderSpacing = Span.millis(Math.max(1, Math.round(4000 / requestsPerSecond)));
+  }
+
+  /** Whether this node leads, so that new jobs should be seen at once. */
+  public void leads(boolean on) {
+    leading = on;
   }
 
   public void listen(Listener to) {
@@ -155,6 +173,9 @@
           if (!take(answer, now)) {
             nextTry = clock.plus(RETRY);
           } else {
+            // Each change ends every node's watch. Opened again at once they would take more than
+            // the whole rate when much is written.
+            nextTry = now.plus(leading ? leaderSpacing : spacing);
             tick(clock);
           }
         });
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -317,7 +317,9 @@
         + ", machines "
         + world.workers.values().stream().filter(SimWorker::alive).count()
         + ", rented "
-        + world.cloud.rented;
+        + world.cloud.rented
+        + ", requests "
+        + world.state.requests();
   }
 
   private boolean holds(Words line) {
@@ -341,6 +343,9 @@
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
+      case "requests" -> {
+        return world.state.requests() <= line.number("most", 1e9);
+      }
       case "writes" -> {
         return world.state.writes() <= line.number("most", 1e9);
       }
--- a/src/test/java/org/oakwalk/scenario/SimState.java
+++ b/src/test/java/org/oakwalk/scenario/SimState.java
@@ -39,6 +39,7 @@
   private long holdNumbers;
   private long downUntil;
   private int writes;
+  private int requests;
 
   SimState(Timeline time) {
     this.time = time;
@@ -49,6 +50,10 @@
     return writes;
   }
 
+  int requests() {
+    return requests;
+  }
+
   boolean down() {
     return time.now() < downUntil;
   }
@@ -101,6 +106,7 @@
   }
 
   void serve(Request.State request, Consumer<Answer> then) {
+    requests++;
     if (down()) {
       then.accept(new Answer.Refused(503, "down"));
     } else if (request instanceof Request.ReadPage read) {
