Followers in a zone without the leader keep its tasks alive for a bounded time

Change: a follower announces it in the store under the leader's guard, then answers workers of its own zone under the leader's token for cancel_s - 2 lease_s - 4 s, ordering only halts of withdrawn jobs. The leader counts that into every lapse. Machines overdue count when many silent ones are told from a few, since those of a cut fall silent one after the other. docs/safety.md has the argument.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -1,11 +1,13 @@
 package org.oakwalk.core;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.UserDesk;
 import org.oakwalk.core.leadership.Leadership;
+import org.oakwalk.core.leadership.Relay;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
@@ -13,6 +15,7 @@
 import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.port.Response;
+import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.KnownJob;
 import org.oakwalk.core.store.StoreView;
 import org.slf4j.Logger;
@@ -35,6 +38,7 @@
   private final Outbox outbox = new Outbox();
   private final StoreView view;
   private final Leadership leadership;
+  private final Relay relay;
   private final UserDesk desk;
   private final Catalogue catalogue;
   private Optional<Reign> reign = Optional.empty();
@@ -60,6 +64,7 @@
             outbox,
             view,
             settings.node(),
+            settings.zone(),
             incarnation,
             coastLimit,
             new Leadership.Listener() {
@@ -83,6 +88,7 @@
                 reign = Optional.empty();
               }
             });
+    this.relay = new Relay(outbox, view, settings);
     this.desk = new UserDesk(outbox, view, settings.teams());
     this.catalogue = new Catalogue(outbox);
     view.listen(
@@ -112,6 +118,7 @@
   public List<Effect> handle(Event event, Moment steady, WallTime dayTime) {
     now = steady;
     wall = dayTime;
+    view.clock(now);
     desk.clock(now, wall);
     step(event);
     return outbox.drain();
@@ -123,7 +130,19 @@
     } else if (event instanceof Event.Answered answered) {
       outbox.answered(answered.call(), answered.answer());
     } else if (event instanceof Event.WorkerReports reports) {
-      outbox.respond(reports.exchange(), report(reports.report()));
+      if (reign.isPresent()) {
+        outbox.respond(reports.exchange(), report(reports.report()));
+      } else {
+        relay.answer(
+            reports.report(),
+            now,
+            token ->
+                outbox.respond(
+                    reports.exchange(),
+                    token.isPresent()
+                        ? new Response.Orders(token.get(), haltsOf(reports.report()))
+                        : elsewhere()));
+      }
     } else if (event instanceof Event.UserAsks asks) {
       serve(asks);
     } else if (event instanceof Event.HealthAsked asked) {
@@ -136,6 +155,7 @@
   private void tick() {
     view.tick(now);
     leadership.tick(now);
+    relay.tick(leadership.reigning(), now);
     catalogue.tick(leadership.reigning(), now);
     desk.types(catalogue.types());
     reign.ifPresent(r -> r.tick(catalogue.types(), leadership.mayAnswer(now), now, wall));
@@ -179,12 +199,31 @@
           ? new Response.Orders(reign.get().token(), orders.get())
           : Response.unavailable("machine types not known yet", SOON);
     }
+    return elsewhere();
+  }
+
+  private Response elsewhere() {
     return new Response.Elsewhere(
         view.leader()
             .map(leader -> leader.record().node())
             .filter(node -> !node.equals(settings.node())));
   }
 
+  /** All that a follower may order while it relays: what is withdrawn must end everywhere. */
+  private List<Order> haltsOf(Report report) {
+    List<Order> halts = new ArrayList<>();
+    for (Report.Piece piece : report.pieces()) {
+      boolean withdrawn =
+          view.job(piece.task().job())
+              .filter(job -> job.phase() == JobRecord.Phase.WITHDRAWN)
+              .isPresent();
+      if (withdrawn && !piece.ended()) {
+        halts.add(new Order.Halt(piece.task(), piece.attempt(), Span.millis(0)));
+      }
+    }
+    return halts;
+  }
+
   /**
    * Serves a user, through the leader if this node alone has lost the state service. In an outage
    * the leader has lost it as well, and the user is sent away at once.
@@ -227,6 +266,7 @@
   private void peer(Event.PeerSays says) {
     if (says.message() instanceof PeerMessage.Digest digest) {
       leadership.higherTokenSeen(digest.token(), now);
+      relay.heard(digest.token(), now);
       if (reign.isEmpty()) {
         desk.counts(digest.counts());
         if (digest.serves()) {
@@ -238,6 +278,10 @@
           says.exchange(),
           new Response.ToPeer(
               new PeerMessage.Acknowledged(settings.node(), !leadership.reigning())));
+    } else if (says.message() instanceof PeerMessage.Probe) {
+      outbox.respond(
+          says.exchange(),
+          new Response.ToPeer(new PeerMessage.Acknowledged(settings.node(), false)));
     } else if (says.message() instanceof PeerMessage.Forward forward) {
       desk.serve(
           forward.request(),
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.ResultWriter;
+import org.oakwalk.core.leadership.RelayEnds;
 import org.oakwalk.core.placement.Pace;
 import org.oakwalk.core.placement.Placer;
 import org.oakwalk.core.placement.Quota;
@@ -41,6 +42,7 @@
   private final Outbox outbox;
   private final Policy policy;
   private final JobBook jobs;
+  private final RelayEnds relays;
   private final Fleet fleet;
   private final Courier courier;
   private final Registry registry;
@@ -77,7 +79,8 @@
     Span suspectAfter = settings.workers().report().times(2.2);
     int changes = settings.state().changesPerCommit();
     this.jobs = new JobBook(view, token, now);
-    this.fleet = new Fleet(token, jobs, view, settings.workers(), this);
+    this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
+    this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
     this.courier =
         new Courier(
             outbox,
@@ -175,6 +178,7 @@
     fleet.lapse(now, recovery.lastForeignRenewal());
     courier.push(now);
     if (active) {
+      relays.tick(now);
       registry.tick(now);
       results.tick(now);
       capacity.tick(types, recovery.complete(), now, wall);
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -23,7 +23,18 @@
       String kind, String jobClass, double withinSeconds, double share, double times) {}
 
   /** The workers' timing. */
-  public record Workers(Span report, Span lease, Span cancel) {}
+  public record Workers(Span report, Span lease, Span cancel) {
+    private static final Span RELAY_MARGIN = Span.seconds(4);
+
+    /**
+     * How long followers may keep leases alive for a leader that workers can't reach. A start
+     * command that a cut holds back is executed as long as its session lives: by then no user may
+     * have been told for more than {@code cancel} that its job is cancelled.
+     */
+    public Span relayWindow() {
+      return cancel.minus(lease.times(2)).minus(RELAY_MARGIN);
+    }
+  }
 
   /** Limits of the state service. */
   public record StateLimits(
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -39,6 +39,7 @@
   private static final int MOST_RELEASED = 100;
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
+  private static final double OVERDUE = 0.7;
   private static final double LOOSE_HEADROOM = 0.3;
 
   private final Outbox outbox;
@@ -161,6 +162,7 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     int lapsed = 0;
+    int quiet = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
       switch (machine.state()) {
         case BOOTING -> {
@@ -174,6 +176,9 @@
         }
         case UP -> {
           up++;
+          // Reports come at their own times, so of machines that a cut takes all at once some seem
+          // silent well before the others; who is overdue already counts as well.
+          quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
           if (now.past(machine.heard(), suspectAfter)) {
             silent.add(machine);
           } else if (unfit(machine) && !machine.draining()) {
@@ -189,11 +194,13 @@
         }
         case LAPSED -> {
           lapsed++;
+          quiet++;
           silent.add(machine);
         }
         case UNCONFIRMED -> {
           up++;
           if (now.past(machine.known(), CONFIRMS_WITHIN)) {
+            quiet++;
             silent.add(machine);
           }
         }
@@ -202,7 +209,7 @@
     }
     // Many silent machines at once are out of reach rather than broken. They are left alone, also
     // when their leases have run out, since they come back when the network does.
-    if (silent.size() <= Math.max(2, (up + lapsed) / 6)) {
+    if (quiet <= Math.max(2, (up + lapsed) / 6)) {
       for (Machine machine : silent) {
         // One machine that does not answer a new leader holds up all older jobs.
         if (machine.state() == Machine.State.UNCONFIRMED
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -22,6 +22,7 @@
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.Room;
+import org.oakwalk.core.leadership.RelayEnds;
 import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.StoreView;
 import org.slf4j.Logger;
@@ -51,6 +52,7 @@
   private final Token token;
   private final JobBook jobs;
   private final StoreView view;
+  private final RelayEnds relays;
   private final Settings.Workers timing;
   private final Listener listener;
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
@@ -62,7 +64,13 @@
   private long attempts;
 
   public Fleet(
-      Token token, JobBook jobs, StoreView view, Settings.Workers timing, Listener listener) {
+      Token token,
+      JobBook jobs,
+      StoreView view,
+      RelayEnds relays,
+      Settings.Workers timing,
+      Listener listener) {
+    this.relays = relays;
     this.token = token;
     this.jobs = jobs;
     this.view = view;
@@ -457,6 +465,8 @@
       if (machine.inDoubt() && lastForeignRenewal.isAfter(renewed)) {
         renewed = lastForeignRenewal;
       }
+      // A follower may have done so in the leader's place, which the store's copy tells.
+      renewed = relays.lastRenewal(machine.zone(), renewed, now);
       // A later leader may renew leases as well. Only a read of the store that began after the
       // lease
       // had run out, and still showed this leader, tells that nobody did.
--- a/src/main/java/org/oakwalk/core/leadership/Leadership.java
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -71,6 +71,7 @@
   private final Outbox outbox;
   private final StoreView view;
   private final NodeId node;
+  private final String zone;
   private final String incarnation;
   private final Span coastLimit;
   private final Listener listener;
@@ -85,12 +86,14 @@
       Outbox outbox,
       StoreView view,
       NodeId node,
+      String zone,
       String incarnation,
       Span coastLimit,
       Listener listener) {
     this.outbox = outbox;
     this.view = view;
     this.node = node;
+    this.zone = zone;
     this.incarnation = incarnation;
     this.coastLimit = coastLimit;
     this.listener = listener;
@@ -196,7 +199,7 @@
 
   private void claim(Moment now) {
     calling = true;
-    StoredValue.LeaderRecord record = new StoredValue.LeaderRecord(node, incarnation);
+    StoredValue.LeaderRecord record = new StoredValue.LeaderRecord(node, zone, incarnation);
     outbox.call(
         new Request.Commit(
             List.of(new Guard(Keys.LEADER, Revision.NONE)),
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/leadership/Relay.java
@@ -0,0 +1,188 @@
+package org.oakwalk.core.leadership;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Change;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A follower that is cut off from the leader in another zone keeps the leases of its own zone's
+ * workers alive under the leader's token, for a bounded time. Before the first such answer that is
+ * announced in the store, under a guard that the leader still leads, so that the leader takes no
+ * machine of the zone for empty too early. docs/safety.md argues why no rule is broken.
+ */
+public final class Relay {
+  private static final Logger LOG = LoggerFactory.getLogger(Relay.class);
+
+  /** States of a node with respect to announcing. */
+  public enum State {
+    IDLE,
+    /** The announcement is being written; reports wait for its outcome. */
+    ANNOUNCING
+  }
+
+  private static final Map<State, Set<State>> LEGAL = new EnumMap<>(State.class);
+
+  static {
+    LEGAL.put(State.IDLE, EnumSet.of(State.ANNOUNCING));
+    LEGAL.put(State.ANNOUNCING, EnumSet.of(State.IDLE));
+  }
+
+  private static final Span DIGESTS_MISSING = Span.millis(1500);
+  private static final Span PROBE_EVERY = Span.millis(1000);
+
+  private final Outbox outbox;
+  private final StoreView view;
+  private final NodeId node;
+  private final String zone;
+  private final Span window;
+  private final boolean worthwhile;
+  private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+  private State state = State.IDLE;
+  private Token highestHeard = new Token(0);
+  private Moment heard = new Moment(Long.MIN_VALUE / 2);
+  private Moment nextProbe = new Moment(Long.MIN_VALUE / 2);
+  private Moment clock = new Moment(0);
+  private boolean probing;
+  private boolean silent;
+
+  public Relay(Outbox outbox, StoreView view, Settings settings) {
+    this.outbox = outbox;
+    this.view = view;
+    this.node = settings.node();
+    this.zone = settings.zone();
+    this.window = settings.workers().relayWindow();
+    // A shorter time gains nothing over the lease that the workers have anyway.
+    this.worthwhile = window.compareTo(settings.workers().lease().times(0.5)) > 0;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** A leader was heard; nothing under an older token goes out from here on. */
+  public void heard(Token leader, Moment now) {
+    heard = now;
+    silent = false;
+    if (leader.compareTo(highestHeard) > 0) {
+      highestHeard = leader;
+    }
+  }
+
+  /** Keeps watch on whether the leader can be reached. */
+  public void tick(boolean reigning, Moment now) {
+    clock = now;
+    Optional<StoreView.Leader> leader = remoteLeader();
+    if (reigning || leader.isEmpty() || !now.past(heard, DIGESTS_MISSING)) {
+      silent = false;
+    } else if (worthwhile && !probing && !nextProbe.isAfter(now)) {
+      probe(leader.get().record().node(), now);
+    }
+  }
+
+  private Optional<StoreView.Leader> remoteLeader() {
+    return view.leader()
+        .filter(leader -> !leader.record().zone().equals(zone))
+        .filter(leader -> leader.token().compareTo(highestHeard) >= 0);
+  }
+
+  /**
+   * Asks the leader for a sign of life. Only silence counts: a refused connection may come from a
+   * filter between the controllers, while the workers reach the leader all the same.
+   */
+  private void probe(NodeId leader, Moment now) {
+    probing = true;
+    nextProbe = now.plus(PROBE_EVERY);
+    outbox.call(
+        new Request.Tell(leader, new PeerMessage.Probe(node)),
+        answer -> {
+          probing = false;
+          silent = answer instanceof Answer.Nothing;
+        });
+  }
+
+  /**
+   * Tells under which token the worker that sent this report may be answered, if any; at once,
+   * unless that has to be announced first.
+   */
+  public void answer(Report report, Moment now, Consumer<Optional<Token>> then) {
+    clock = now;
+    Optional<Token> token =
+        remoteLeader().map(StoreView.Leader::token).filter(report.token()::equals);
+    if (!worthwhile || !silent || token.isEmpty() || !report.zone().equals(zone)) {
+      then.accept(Optional.empty());
+    } else if (view.relayed(zone).isEmpty() && view.fresh(now)) {
+      waiting.add(known -> then.accept(token.filter(t -> known && may(t))));
+      if (state == State.IDLE) {
+        announce(token.get(), now);
+      }
+    } else {
+      then.accept(token.filter(this::may));
+    }
+  }
+
+  /**
+   * Whether workers may be answered under this token now: it is announced, and not for too long.
+   */
+  private boolean may(Token token) {
+    return silent
+        && view.fresh(clock)
+        && remoteLeader().filter(leader -> leader.token().equals(token)).isPresent()
+        && view.relayed(zone)
+            .filter(relayed -> relayed.record().token().equals(token) && relayed.watched())
+            .filter(relayed -> !clock.past(relayed.seen(), window.surelyNotPassed()))
+            .isPresent();
+  }
+
+  private void announce(Token token, Moment now) {
+    enter(State.ANNOUNCING);
+    LOG.info("leader of token {} is out of reach, zone {} asks to be relayed", token, zone);
+    String key = Keys.relay(zone);
+    outbox.call(
+        new Request.Commit(
+            List.of(
+                new Guard(Keys.LEADER, new Revision(token.value())), new Guard(key, Revision.NONE)),
+            List.of(
+                new Change.Put(key, new StoredValue.RelayRecord(zone, token), Optional.empty())),
+            Request.Urgency.LEADERSHIP),
+        // Whatever came back, the copy of the store tells whether it was written.
+        answer -> view.catchUp(clock, this::settle));
+  }
+
+  private void settle(boolean known) {
+    enter(State.IDLE);
+    List<Consumer<Boolean>> served = new ArrayList<>(waiting);
+    waiting.clear();
+    served.forEach(waiter -> waiter.accept(known));
+  }
+
+  /** The one place where the state changes. */
+  private void enter(State next) {
+    if (!LEGAL.get(state).contains(next)) {
+      throw new IllegalStateException("relay from " + state + " to " + next);
+    }
+    state = next;
+  }
+}
--- a/src/main/java/org/oakwalk/core/port/PeerMessage.java
+++ b/src/main/java/org/oakwalk/core/port/PeerMessage.java
@@ -24,6 +24,9 @@
    */
   record Acknowledged(NodeId from, boolean settled) implements PeerMessage {}
 
+  /** Asks whether the receiver can be reached at all. */
+  record Probe(NodeId from) implements PeerMessage {}
+
   /** A user's request that its receiver cannot serve, for lack of the state service. */
   record Forward(UserRequest request) implements PeerMessage {}
 
--- a/src/main/java/org/oakwalk/core/store/Keys.java
+++ b/src/main/java/org/oakwalk/core/store/Keys.java
@@ -9,12 +9,17 @@
   public static final String WATCHED = "oak/a/";
 
   public static final String LEADER = WATCHED + "leader";
+  public static final String RELAYS = WATCHED + "relay/";
   public static final String JOBS = WATCHED + "job/";
   public static final String DONE = "oak/done/";
   public static final String MACHINES = "oak/machine/";
 
   private Keys() {}
 
+  public static String relay(String zone) {
+    return RELAYS + zone;
+  }
+
   public static String job(JobId id) {
     return JOBS + id.value();
   }
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Moment;
@@ -40,13 +42,27 @@
   /** The leader key as last seen. */
   public record Leader(StoredValue.LeaderRecord record, Token token) {}
 
+  /**
+   * An announcement that followers may keep leases alive in a zone.
+   *
+   * @param seen when it came to be known here
+   * @param watched whether it was seen as it was made, so that its age is known
+   */
+  public record Relayed(
+      StoredValue.RelayRecord record, Revision stamp, Moment seen, boolean watched) {}
+
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
   private static final Span STALE = Span.millis(1800);
 
+  /** By how much a copy that is fresh may lag behind the store, with a margin. */
+  public static final Span LAG = Span.millis(2000);
+
   private final Outbox outbox;
   private final Span spacing;
   private final Map<JobId, KnownJob> jobs = new HashMap<>();
+  private final Map<String, Relayed> relays = new HashMap<>();
+  private final Set<String> relaysOnPages = new HashSet<>();
   private final List<Consumer<Boolean>> waiting = new ArrayList<>();
   private Listener listener;
   private State state = State.LOADING;
@@ -86,6 +102,21 @@
     return jobs.values();
   }
 
+  /** What is known of followers that keep leases alive in a zone. */
+  public Optional<Relayed> relayed(String zone) {
+    return Optional.ofNullable(relays.get(Keys.relay(zone)));
+  }
+
+  /** All that is known of this kind. */
+  public Collection<Relayed> relayed() {
+    return relays.values();
+  }
+
+  /** The time by which changes are applied. */
+  public void clock(Moment now) {
+    clock = now;
+  }
+
   /** Whether everything has been read once. */
   public boolean loaded() {
     return everLive;
@@ -199,6 +230,9 @@
           }
           for (Entry entry : page.entries()) {
             leaderOnPages |= entry.key().equals(Keys.LEADER);
+            if (entry.key().startsWith(Keys.RELAYS)) {
+              relaysOnPages.add(entry.key());
+            }
             apply(entry.key(), Optional.of(entry.value()), entry.stamp());
           }
           if (page.more() && !page.entries().isEmpty()) {
@@ -207,6 +241,7 @@
             if (!leaderOnPages && leaderStamp.compareTo(loadEpoch) < 0) {
               apply(Keys.LEADER, Optional.empty(), loadEpoch);
             }
+            relays.keySet().retainAll(relaysOnPages);
             position = loadEpoch;
             enter(State.LIVE);
             touched(now);
@@ -228,6 +263,7 @@
       loadEpoch = null;
       loadAfter = Optional.empty();
       leaderOnPages = false;
+      relaysOnPages.clear();
     } else {
       everLive = true;
     }
@@ -244,6 +280,11 @@
               .filter(StoredValue.LeaderRecord.class::isInstance)
               .map(v -> new Leader((StoredValue.LeaderRecord) v, new Token(stamp.value())));
       listener.leaderChanged(clock);
+    } else if (key.startsWith(Keys.RELAYS)) {
+      relays.remove(key);
+      if (value.isPresent() && value.get() instanceof StoredValue.RelayRecord relay) {
+        relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
+      }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
       KnownJob known = jobs.get(record.spec().id());
       if (known == null || known.stamp().compareTo(stamp) < 0) {
--- a/src/main/java/org/oakwalk/core/store/StoredValue.java
+++ b/src/main/java/org/oakwalk/core/store/StoredValue.java
@@ -2,13 +2,21 @@
 
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Token;
 
 /** A value that this project keeps in the state service. */
 public sealed interface StoredValue
-    permits JobRecord, StoredValue.LeaderRecord, StoredValue.DoneChunk, StoredValue.MachineRecord {
+    permits JobRecord,
+        StoredValue.LeaderRecord,
+        StoredValue.RelayRecord,
+        StoredValue.DoneChunk,
+        StoredValue.MachineRecord {
 
-  /** Who leads. The incarnation tells two lives of one node apart. */
-  record LeaderRecord(NodeId node, String incarnation) implements StoredValue {}
+  /** Who leads, and from which zone. The incarnation tells two lives of one node apart. */
+  record LeaderRecord(NodeId node, String zone, String incarnation) implements StoredValue {}
+
+  /** Followers may keep workers' leases alive in a zone under a leader's token for a while. */
+  record RelayRecord(String zone, Token token) implements StoredValue {}
 
   /** Finished tasks of a part of a job, one bit each, as hexadecimal text. */
   record DoneChunk(String bits) implements StoredValue {}
--- a/src/main/java/org/oakwalk/wire/PeerCodec.java
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -36,6 +36,9 @@
       map.put("sort", "acknowledged");
       map.put("from", acknowledged.from().value());
       map.put("settled", acknowledged.settled());
+    } else if (message instanceof PeerMessage.Probe probe) {
+      map.put("sort", "probe");
+      map.put("from", probe.from().value());
     } else if (message instanceof PeerMessage.Forward forward) {
       map.put("sort", "forward");
       request(forward.request(), map);
@@ -59,6 +62,7 @@
               counts(fields.get("counts")));
       case "acknowledged" ->
           new PeerMessage.Acknowledged(new NodeId(fields.text("from")), fields.flag("settled"));
+      case "probe" -> new PeerMessage.Probe(new NodeId(fields.text("from")));
       case "forward" -> new PeerMessage.Forward(request(fields));
       case "forwarded" -> new PeerMessage.Forwarded(response(fields));
       default -> throw new BadMessage("message of unknown sort " + sort);
--- a/src/main/java/org/oakwalk/wire/StateCodec.java
+++ b/src/main/java/org/oakwalk/wire/StateCodec.java
@@ -12,6 +12,7 @@
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Revision;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Request;
@@ -143,7 +144,12 @@
     } else if (value instanceof StoredValue.LeaderRecord leader) {
       map.put("sort", "leader");
       map.put("node", leader.node().value());
+      map.put("zone", leader.zone());
       map.put("incarnation", leader.incarnation());
+    } else if (value instanceof StoredValue.RelayRecord relay) {
+      map.put("sort", "relay");
+      map.put("zone", relay.zone());
+      map.put("token", relay.token().value());
     } else if (value instanceof StoredValue.DoneChunk chunk) {
       map.put("sort", "done");
       map.put("bits", chunk.bits());
@@ -167,7 +173,9 @@
               phase(map.text("phase")),
               new WallTime(map.count("accepted")));
       case "leader" ->
-          new StoredValue.LeaderRecord(new NodeId(map.text("node")), map.text("incarnation"));
+          new StoredValue.LeaderRecord(
+              new NodeId(map.text("node")), map.text("zone"), map.text("incarnation"));
+      case "relay" -> new StoredValue.RelayRecord(map.text("zone"), new Token(map.count("token")));
       case "done" -> new StoredValue.DoneChunk(map.text("bits"));
       case "machine" ->
           new StoredValue.MachineRecord(
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -232,7 +232,7 @@
                 List.of(
                     new Change.Put(
                         "a/b",
-                        new StoredValue.LeaderRecord(new NodeId("n"), "x"),
+                        new StoredValue.LeaderRecord(new NodeId("n"), "a", "x"),
                         Optional.of(new HoldId(7))),
                     new Change.Remove("c/d")),
                 Request.Urgency.REST));
@@ -240,7 +240,7 @@
     assertThat(json(commit.body()))
         .isEqualTo(
             "{\"guards\":[{\"k\":\"a/b\",\"stamp\":0}],\"then\":[{\"set\":\"a/b\","
-                + "\"value\":{\"sort\":\"leader\",\"node\":\"n\",\"incarnation\":\"x\"},\"hold\":7},"
+                + "\"value\":{\"sort\":\"leader\",\"node\":\"n\",\"zone\":\"a\",\"incarnation\":\"x\"},\"hold\":7},"
                 + "{\"delete\":\"c/d\"}]}");
     Request.Watch watch =
         new Request.Watch("c/", new Revision(431), Span.seconds(10), Request.Urgency.REST);
