--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -40,6 +40,7 @@
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
   private static final double OVERDUE = 0.7;
+  private static final double TOTAL_HALVES_IN_SECONDS = 40;
   private static final double LOOSE_HEADROOM = 0.3;
 
   private final Outbox outbox;
@@ -62,6 +63,7 @@
   private boolean listing;
   private final Map<String, Double> tightPeaks = new HashMap<>();
   private final Map<String, Double> loosePeaks = new HashMap<>();
+  private final Map<String, Double> totalPeaks = new HashMap<>();
 
   public Capacity(
       Outbox outbox,
@@ -285,8 +287,13 @@
       Need need = needs.getOrDefault(type.name(), Need.NONE);
       double tight = peak(tightPeaks, type, need.tight(), TIGHT_HALVES_IN_SECONDS);
       double loose = peak(loosePeaks, type, need.total() - need.tight(), LOOSE_HALVES_IN_SECONDS);
+      // The two peaks belong to different moments, so together they ask for more than was ever
+      // asked for at once; over a large fleet that is most of the money.
+      double total = peak(totalPeaks, type, need.total(), TOTAL_HALVES_IN_SECONDS);
       double ready =
-          tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM);
+          Math.min(
+              total * (1 + policy.headroom()),
+              tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM));
       // With nothing to do at all, the spare machines go as well.
       int wanted = need.total() <= 0 ? 0 : (int) Math.ceil(ready) + policy.spareMachines();
       adjust(type, need, wanted, now);
@@ -372,20 +379,22 @@
 
   /** Takes machines back into use that were to be returned; returns how many. */
   private int keep(MachineType type, int count, Moment now) {
-    int kept = 0;
+    List<Machine> candidates = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
-      if (kept < count
-          && machine.type().name().equals(type.name())
+      if (machine.type().name().equals(type.name())
           && machine.state() == Machine.State.UP
-          && machine.draining()
-          && !unfit(machine)
-          && machine.reclaimedAt() == null
+          && machine.retiring()
           && !now.past(machine.heard(), suspectAfter)) {
-        machine.drain(false);
-        kept++;
+        candidates.add(machine);
       }
     }
-    return kept;
+    // The cheap ones first, then those that would take longest to empty: what is nearly empty goes.
+    candidates.sort(
+        Comparator.comparingDouble((Machine machine) -> type.price(machine.spot()))
+            .thenComparing(Machine::emptyBy, Comparator.reverseOrder()));
+    List<Machine> kept = candidates.subList(0, Math.min(count, candidates.size()));
+    kept.forEach(machine -> machine.retire(false));
+    return kept.size();
   }
 
   /**
@@ -399,20 +408,20 @@
           && machine.state() == Machine.State.UP
           && !machine.draining()
           && now.past(machine.known(), policy.idle())
-          && machine.placements().stream().noneMatch(p -> p.job().spec().service())) {
+          && !machine.holdsReplica()) {
         candidates.add(machine);
       }
     }
     candidates.sort(
         Comparator.comparingDouble((Machine machine) -> -type.price(machine.spot()))
-            .thenComparingDouble(machine -> machine.used().share(type.room())));
+            .thenComparing(Machine::emptyBy));
     int left = surplus;
     int ordinaryLeft = ordinarySurplus;
     for (Machine machine : candidates) {
       if (left > 0 && (machine.spot() || ordinaryLeft > 0)) {
         left--;
         ordinaryLeft -= machine.spot() ? 0 : 1;
-        machine.drain(true);
+        machine.retire(true);
         LOG.info("machine {} is not needed any more", machine.id());
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -147,17 +147,19 @@
   }
 
   /** Puts a task on a machine. The order goes out by command or with the next response. */
-  public Placement place(Job job, int index, Attempt attempt, Machine machine, Moment now) {
-    Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, now);
+  public Placement place(
+      Job job, int index, Attempt attempt, Machine machine, Span expected, Moment now) {
+    Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, expected, now);
     toCommand.add(machine);
     listener.placed(job, now);
     LOG.debug("task {} try {} placed on {}", placement.task(), placement.attempt(), machine.id());
     return placement;
   }
 
-  private Placement hold(Job job, TaskId task, Attempt attempt, Machine machine, Moment now) {
+  private Placement hold(
+      Job job, TaskId task, Attempt attempt, Machine machine, Span expected, Moment now) {
     job.take(task.index());
-    Placement placement = new Placement(job, task, attempt, machine, now);
+    Placement placement = new Placement(job, task, attempt, machine, now, expected);
     machine.add(placement);
     byTask.put(task, placement);
     teamUse.merge(job.spec().team(), job.spec().room(), Room::plus);
@@ -375,7 +377,7 @@
       machine.stray(attempt, job.spec().room());
       return;
     }
-    Placement adopted = hold(job, piece.task(), piece.attempt(), machine, now);
+    Placement adopted = hold(job, piece.task(), piece.attempt(), machine, job.spec().guess(), now);
     observe(adopted, piece, now);
     if (!job.open()) {
       halt(adopted, Span.millis(0));
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -77,11 +77,14 @@
   private Rental.Status listed;
   private boolean inDoubt;
   private boolean draining;
+  private boolean retiring;
   private boolean faulty;
   private int lateness;
   private boolean slow;
   private final Map<JobId, Integer> errors = new HashMap<>();
   private Room used = Room.NONE;
+  private int replicas;
+  private Moment emptyBy = new Moment(Long.MIN_VALUE / 2);
   private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
   private final Map<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
   private final Map<Try, Boolean> uncleared = new LinkedHashMap<>();
@@ -189,7 +192,7 @@
 
   /** Whether no new tasks are to be put on it. */
   public boolean draining() {
-    return draining || reclaimedAt != null;
+    return draining || retiring || reclaimedAt != null;
   }
 
   /** When the cloud takes it away, if it gave notice; else null. */
@@ -213,14 +216,38 @@
     return placements.get(task);
   }
 
+  private static Moment later(Moment one, Moment other) {
+    return other == null || one.isAfter(other) ? one : other;
+  }
+
+  /** When the last of its tasks that have an end should be over. */
+  public Moment emptyBy() {
+    return emptyBy;
+  }
+
+  /** Tasks of this job that are on it. */
+  public long countOf(JobId job) {
+    return placements.keySet().stream().filter(task -> task.job().equals(job)).count();
+  }
+
+  /** Whether a task without an end is on it. */
+  public boolean holdsReplica() {
+    return replicas > 0;
+  }
+
   public boolean idle() {
     return placements.isEmpty();
   }
 
-  /** Whether tasks may be put on it now. */
+  /** Whether it is sound but not needed any more, and is returned once it is empty. */
+  public boolean retiring() {
+    return retiring && !draining && reclaimedAt == null;
+  }
+
+  /** Whether tasks may be put on it now; if it is retiring, only those that don't hold it up. */
   public boolean takesTasks(Moment now, Span suspectAfter) {
     return state == State.UP
-        && !draining()
+        && (!draining() || retiring())
         && session.isPresent()
         && !now.past(heard, suspectAfter)
         && !blockedUntil.isAfter(now);
@@ -235,6 +262,10 @@
     listed = status;
   }
 
+  public void retire(boolean on) {
+    retiring = on;
+  }
+
   public void drain(boolean on) {
     draining = on;
   }
@@ -318,6 +349,8 @@
 
   void add(Placement placement) {
     placements.put(placement.task(), placement);
+    replicas += placement.job().spec().service() ? 1 : 0;
+    emptyBy = later(emptyBy, placement.endsBy());
     used = used.plus(placement.job().spec().room());
     useImage(placement);
   }
@@ -334,6 +367,11 @@
 
   void remove(Placement placement, Moment now) {
     if (placements.remove(placement.task(), placement)) {
+      replicas -= placement.job().spec().service() ? 1 : 0;
+      emptyBy = new Moment(Long.MIN_VALUE / 2);
+      for (Placement left : placements.values()) {
+        emptyBy = later(emptyBy, left.endsBy());
+      }
       used = placements.isEmpty() ? Room.NONE : used.minus(placement.job().spec().room());
       if (placements.isEmpty()) {
         idleSince = now;
--- a/src/main/java/org/oakwalk/core/fleet/Placement.java
+++ b/src/main/java/org/oakwalk/core/fleet/Placement.java
@@ -48,13 +48,15 @@
   private Span haltCommanded;
   private boolean watched = true;
   private boolean late;
+  private final Moment endsBy;
 
-  Placement(Job job, TaskId task, Attempt attempt, Machine machine, Moment ordered) {
+  Placement(Job job, TaskId task, Attempt attempt, Machine machine, Moment ordered, Span expected) {
     this.job = job;
     this.task = task;
     this.attempt = attempt;
     this.machine = machine;
     this.ordered = ordered;
+    this.endsBy = job.spec().service() ? null : ordered.plus(expected);
   }
 
   public Job job() {
@@ -86,6 +88,11 @@
     return runningSince;
   }
 
+  /** When it should end; null if it has no end. */
+  public Moment endsBy() {
+    return endsBy;
+  }
+
   /** Whether the machine has reported all the while, so that times mean something. */
   public boolean watched() {
     return watched;
--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -1,7 +1,9 @@
 package org.oakwalk.core.placement;
 
 import java.util.Collection;
+import org.oakwalk.core.Moment;
 import org.oakwalk.core.Policy;
+import org.oakwalk.core.Span;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Room;
@@ -14,14 +16,28 @@
   private static final double LONG_FETCH_SECONDS = 10;
   private static final double SERVICE_FACTOR = 5;
 
+  /** Long tasks keep together likewise; short ones don't matter, since they end soon. */
+  private static final double LONG_HOLD_SECONDS = 60;
+
+  /**
+   * A machine that holds a replica can't be emptied for long, so replicas keep together: spread
+   * evenly, they would hold on to the whole fleet when there is little else to do. Those of one job
+   * keep apart all the same, since they should not be lost together.
+   */
+  private static final double ALONE = 1;
+
   private final Policy.Hosts policy;
 
   public IdealHost(Policy.Hosts policy) {
     this.policy = policy;
   }
 
-  /** The nearest of the machines that have room for a task, or null. */
-  public Machine choose(JobSpec spec, Collection<Machine> candidates) {
+  /**
+   * The nearest of the machines that have room for a task, or null.
+   *
+   * @param run how long the task should run
+   */
+  public Machine choose(JobSpec spec, Collection<Machine> candidates, Span run, Moment now) {
     double leastCpu = Double.MAX_VALUE;
     double leastMemory = Double.MAX_VALUE;
     double leastGpu = Double.MAX_VALUE;
@@ -41,6 +57,7 @@
               + square(memoryUse(machine) - leastMemory)
               + square(gpuUse(machine) - leastGpu)
               + square(imageWeight(spec) * fetchShare(spec, machine))
+              + (spec.service() ? company(spec, machine) : square(held(machine, run, now)))
               + machine.errorsOf(spec.id());
       if (distance < bestDistance) {
         bestDistance = distance;
@@ -71,6 +88,21 @@
     return asked > spared || free - asked >= spared - 1e-9;
   }
 
+  /** How much longer a task would keep the machine from being empty. */
+  private static double held(Machine machine, Span run, Moment now) {
+    if (machine.holdsReplica()) {
+      return 0;
+    }
+    Moment from = machine.emptyBy().isAfter(now) ? machine.emptyBy() : now;
+    double longer = now.plus(run).since(from).asSeconds();
+    return Math.min(1, Math.max(0, longer) / LONG_HOLD_SECONDS);
+  }
+
+  private static double company(JobSpec spec, Machine machine) {
+    double own = spec.tasks() == 1 ? 0 : machine.countOf(spec.id());
+    return machine.holdsReplica() ? own : ALONE;
+  }
+
   /** Replicas are waited for, so for them the image counts more than an even load. */
   private double imageWeight(JobSpec spec) {
     return spec.service() ? SERVICE_FACTOR * policy.imageWeight() : policy.imageWeight();
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -42,6 +42,7 @@
   private final Map<Machine, Job> reserved = new HashMap<>();
   private int placed;
   private WallTime wall = new WallTime(0);
+  private Moment clock = new Moment(0);
 
   public Placer(
       Fleet fleet,
@@ -74,6 +75,7 @@
   public int round(boolean inheritedToo, boolean regular, Moment now, WallTime wall) {
     placed = 0;
     this.wall = wall;
+    this.clock = now;
     quota.survey(jobs.all());
     List<Machine> machines = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
@@ -179,7 +181,7 @@
       if (machine == null) {
         return Outcome.NO_ROOM;
       }
-      fleet.place(job, index, fleet.nextAttempt(), machine, now);
+      fleet.place(job, index, fleet.nextAttempt(), machine, runTimes.expected(spec), now);
       placed++;
       zones.merge(machine.zone(), 1, Integer::sum);
       index = job.nextPending(index + 1, now);
@@ -251,7 +253,7 @@
         if (index < 0) {
           return Outcome.NO_ROOM;
         }
-        fleet.place(job, index, attempt, machine, now);
+        fleet.place(job, index, attempt, machine, runTimes.expected(job.spec()), now);
         placed++;
       }
     }
@@ -271,12 +273,13 @@
   private Machine pick(
       Job job, int index, List<Machine> machines, Map<String, Integer> zones, Moment now) {
     List<Machine> candidates = candidates(job, machines, zones);
-    Machine machine = hosts.choose(job.spec(), candidates);
+    Span run = runTimes.expected(job.spec());
+    Machine machine = hosts.choose(job.spec(), candidates, run, now);
     TaskId task = new TaskId(job.id(), index);
     while (machine != null && machine.remembers(task)) {
       // A run would be refused while the machine still reports an older attempt.
       candidates.remove(machine);
-      machine = hosts.choose(job.spec(), candidates);
+      machine = hosts.choose(job.spec(), candidates, run, now);
     }
     return machine;
   }
@@ -293,11 +296,13 @@
           }
         });
     List<Machine> candidates = new ArrayList<>();
+    Moment end = clock.plus(runTimes.expected(spec));
     for (Machine machine : machines) {
       Job holder = reserved.get(machine);
       if (spec.allows(machine.type().name(), machine.zone(), machine.spot())
           && (only == null || only.equals(machine.zone()))
           && !full.contains(machine.zone())
+          && (!machine.retiring() || fills(spec, machine, end))
           && (holder == null || holder == job)) {
         candidates.add(machine);
       }
@@ -305,6 +310,14 @@
     return candidates;
   }
 
+  /**
+   * Whether a task may use what is left of a machine that goes when it is empty: it is paid for
+   * until its longest task has ended, so what ends before that costs nothing.
+   */
+  private static boolean fills(JobSpec spec, Machine machine, Moment end) {
+    return !spec.service() && !spec.gang() && !end.isAfter(machine.emptyBy());
+  }
+
   private Map<String, Integer> zoneUse(Job job) {
     Map<String, Integer> zones = new HashMap<>();
     if (job.spec().oneZone() || job.spec().spread()) {
