--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -39,6 +39,8 @@
   private static final int MOST_RELEASED = 100;
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
+  private static final double OVERDUE = 0.7;
+  private static final double TOTAL_HALVES_IN_SECONDS = 40;
   private static final double LOOSE_HEADROOM = 0.3;
 
   private final Outbox outbox;
@@ -61,6 +63,7 @@
   private boolean listing;
   private final Map<String, Double> tightPeaks = new HashMap<>();
   private final Map<String, Double> loosePeaks = new HashMap<>();
+  private final Map<String, Double> totalPeaks = new HashMap<>();
 
   public Capacity(
       Outbox outbox,
@@ -161,6 +164,7 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     int lapsed = 0;
+    int quiet = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
       switch (machine.state()) {
         case BOOTING -> {
@@ -174,6 +178,9 @@
         }
         case UP -> {
           up++;
+          // Reports come at their own times, so of machines that a cut takes all at once some seem
+          // silent well before the others; who is overdue already counts as well.
+          quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
           if (now.past(machine.heard(), suspectAfter)) {
             silent.add(machine);
           } else if (unfit(machine) && !machine.draining()) {
@@ -189,11 +196,13 @@
         }
         case LAPSED -> {
           lapsed++;
+          quiet++;
           silent.add(machine);
         }
         case UNCONFIRMED -> {
           up++;
           if (now.past(machine.known(), CONFIRMS_WITHIN)) {
+            quiet++;
             silent.add(machine);
           }
         }
@@ -202,7 +211,7 @@
     }
     // Many silent machines at once are out of reach rather than broken. They are left alone, also
     // when their leases have run out, since they come back when the network does.
-    if (silent.size() <= Math.max(2, (up + lapsed) / 6)) {
+    if (quiet <= Math.max(2, (up + lapsed) / 6)) {
       for (Machine machine : silent) {
         // One machine that does not answer a new leader holds up all older jobs.
         if (machine.state() == Machine.State.UNCONFIRMED
@@ -278,8 +287,13 @@
       Need need = needs.getOrDefault(type.name(), Need.NONE);
       double tight = peak(tightPeaks, type, need.tight(), TIGHT_HALVES_IN_SECONDS);
       double loose = peak(loosePeaks, type, need.total() - need.tight(), LOOSE_HALVES_IN_SECONDS);
+      // The two peaks belong to different moments, so together they ask for more than was ever
+      // asked for at once; over a large fleet that is most of the money.
+      double total = peak(totalPeaks, type, need.total(), TOTAL_HALVES_IN_SECONDS);
       double ready =
-          tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM);
+          Math.min(
+              total * (1 + policy.headroom()),
+              tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM));
       // With nothing to do at all, the spare machines go as well.
       int wanted = need.total() <= 0 ? 0 : (int) Math.ceil(ready) + policy.spareMachines();
       adjust(type, need, wanted, now);
@@ -365,20 +379,22 @@
 
   /** Takes machines back into use that were to be returned; returns how many. */
   private int keep(MachineType type, int count, Moment now) {
-    int kept = 0;
+    List<Machine> candidates = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
-      if (kept < count
-          && machine.type().name().equals(type.name())
+      if (machine.type().name().equals(type.name())
           && machine.state() == Machine.State.UP
-          && machine.draining()
-          && !unfit(machine)
-          && machine.reclaimedAt() == null
+          && machine.retiring()
           && !now.past(machine.heard(), suspectAfter)) {
-        machine.drain(false);
-        kept++;
+        candidates.add(machine);
       }
     }
-    return kept;
+    // The cheap ones first, then those that would take longest to empty: what is nearly empty goes.
+    candidates.sort(
+        Comparator.comparingDouble((Machine machine) -> type.price(machine.spot()))
+            .thenComparing(Machine::emptyBy, Comparator.reverseOrder()));
+    List<Machine> kept = candidates.subList(0, Math.min(count, candidates.size()));
+    kept.forEach(machine -> machine.retire(false));
+    return kept.size();
   }
 
   /**
@@ -392,20 +408,20 @@
           && machine.state() == Machine.State.UP
           && !machine.draining()
           && now.past(machine.known(), policy.idle())
-          && machine.placements().stream().noneMatch(p -> p.job().spec().service())) {
+          && !machine.holdsReplica()) {
         candidates.add(machine);
       }
     }
     candidates.sort(
         Comparator.comparingDouble((Machine machine) -> -type.price(machine.spot()))
-            .thenComparingDouble(machine -> machine.used().share(type.room())));
+            .thenComparing(Machine::emptyBy));
     int left = surplus;
     int ordinaryLeft = ordinarySurplus;
     for (Machine machine : candidates) {
       if (left > 0 && (machine.spot() || ordinaryLeft > 0)) {
         left--;
         ordinaryLeft -= machine.spot() ? 0 : 1;
-        machine.drain(true);
+        machine.retire(true);
         LOG.info("machine {} is not needed any more", machine.id());
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -22,6 +22,7 @@
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.Room;
+import org.oakwalk.core.leadership.RelayEnds;
 import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.StoreView;
 import org.slf4j.Logger;
@@ -51,6 +52,7 @@
   private final Token token;
   private final JobBook jobs;
   private final StoreView view;
+  private final RelayEnds relays;
   private final Settings.Workers timing;
   private final Listener listener;
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
@@ -62,7 +64,13 @@
   private long attempts;
 
   public Fleet(
-      Token token, JobBook jobs, StoreView view, Settings.Workers timing, Listener listener) {
+      Token token,
+      JobBook jobs,
+      StoreView view,
+      RelayEnds relays,
+      Settings.Workers timing,
+      Listener listener) {
+    this.relays = relays;
     this.token = token;
     this.jobs = jobs;
     this.view = view;
@@ -139,17 +147,19 @@
   }
 
   /** Puts a task on a machine. The order goes out by command or with the next response. */
-  public Placement place(Job job, int index, Attempt attempt, Machine machine, Moment now) {
-    Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, now);
+  public Placement place(
+      Job job, int index, Attempt attempt, Machine machine, Span expected, Moment now) {
+    Placement placement = hold(job, new TaskId(job.id(), index), attempt, machine, expected, now);
     toCommand.add(machine);
     listener.placed(job, now);
     LOG.debug("task {} try {} placed on {}", placement.task(), placement.attempt(), machine.id());
     return placement;
   }
 
-  private Placement hold(Job job, TaskId task, Attempt attempt, Machine machine, Moment now) {
+  private Placement hold(
+      Job job, TaskId task, Attempt attempt, Machine machine, Span expected, Moment now) {
     job.take(task.index());
-    Placement placement = new Placement(job, task, attempt, machine, now);
+    Placement placement = new Placement(job, task, attempt, machine, now, expected);
     machine.add(placement);
     byTask.put(task, placement);
     teamUse.merge(job.spec().team(), job.spec().room(), Room::plus);
@@ -367,7 +377,7 @@
       machine.stray(attempt, job.spec().room());
       return;
     }
-    Placement adopted = hold(job, piece.task(), piece.attempt(), machine, now);
+    Placement adopted = hold(job, piece.task(), piece.attempt(), machine, job.spec().guess(), now);
     observe(adopted, piece, now);
     if (!job.open()) {
       halt(adopted, Span.millis(0));
@@ -457,6 +467,8 @@
       if (machine.inDoubt() && lastForeignRenewal.isAfter(renewed)) {
         renewed = lastForeignRenewal;
       }
+      // A follower may have done so in the leader's place, which the store's copy tells.
+      renewed = relays.lastRenewal(machine.zone(), renewed, now);
       // A later leader may renew leases as well. Only a read of the store that began after the
       // lease
       // had run out, and still showed this leader, tells that nobody did.
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Moment;
@@ -40,13 +42,33 @@
   /** The leader key as last seen. */
   public record Leader(StoredValue.LeaderRecord record, Token token) {}
 
+  /**
+   * An announcement that followers may keep leases alive in a zone.
+   *
+   * @param seen when it came to be known here
+   * @param watched whether it was seen as it was made, so that its age is known
+   */
+  public record Relayed(
+      StoredValue.RelayRecord record, Revision stamp, Moment seen, boolean watched) {}
+
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
+
+  /** Part of the rate that all nodes' reads may take together, and all nodes' watches likewise. */
+  private static final double SHARE = 0.4;
+
   private static final Span STALE = Span.millis(1800);
 
+  /** By how much a copy that is fresh may lag behind the store, with a margin. */
+  public static final Span LAG = Span.millis(2000);
+
   private final Outbox outbox;
   private final Span spacing;
+  private final Span leaderSpacing;
+  private boolean leading;
   private final Map<JobId, KnownJob> jobs = new HashMap<>();
+  private final Map<String, Relayed> relays = new HashMap<>();
+  private final Set<String> relaysOnPages = new HashSet<>();
   private final List<Consumer<Boolean>> waiting = new ArrayList<>();
   private Listener listener;
   private State state = State.LOADING;
@@ -65,9 +87,21 @@
   private boolean everLive;
   private Moment clock = new Moment(0);
 
-  public StoreView(Outbox outbox, double requestsPerSecond) {
+  /**
+   * A copy that is empty as yet.
+   *
+   * @param nodes how many nodes share the state service's rate
+   */
+  public StoreView(Outbox outbox, double requestsPerSecond, int nodes) {
     this.outbox = outbox;
-    this.spacing = Span.millis(Math.max(10, Math.round(5000 / requestsPerSecond)));
+    this.spacing =
+        Span.millis(Math.max(10, Math.round(1000 * nodes / (requestsPerSecond * SHARE))));
+    this.leaderSpacing = Span.millis(Math.max(1, Math.round(4000 / requestsPerSecond)));
+  }
+
+  /** Whether this node leads, so that new jobs should be seen at once. */
+  public void leads(boolean on) {
+    leading = on;
   }
 
   public void listen(Listener to) {
@@ -86,6 +120,21 @@
     return jobs.values();
   }
 
+  /** What is known of followers that keep leases alive in a zone. */
+  public Optional<Relayed> relayed(String zone) {
+    return Optional.ofNullable(relays.get(Keys.relay(zone)));
+  }
+
+  /** All that is known of this kind. */
+  public Collection<Relayed> relayed() {
+    return relays.values();
+  }
+
+  /** The time by which changes are applied. */
+  public void clock(Moment now) {
+    clock = now;
+  }
+
   /** Whether everything has been read once. */
   public boolean loaded() {
     return everLive;
@@ -155,6 +204,9 @@
           if (!take(answer, now)) {
             nextTry = clock.plus(RETRY);
           } else {
+            // Each change ends every node's watch. Opened again at once they would take more than
+            // the whole rate when much is written.
+            nextTry = now.plus(leading ? leaderSpacing : spacing);
             tick(clock);
           }
         });
@@ -199,6 +251,9 @@
           }
           for (Entry entry : page.entries()) {
             leaderOnPages |= entry.key().equals(Keys.LEADER);
+            if (entry.key().startsWith(Keys.RELAYS)) {
+              relaysOnPages.add(entry.key());
+            }
             apply(entry.key(), Optional.of(entry.value()), entry.stamp());
           }
           if (page.more() && !page.entries().isEmpty()) {
@@ -207,6 +262,7 @@
             if (!leaderOnPages && leaderStamp.compareTo(loadEpoch) < 0) {
               apply(Keys.LEADER, Optional.empty(), loadEpoch);
             }
+            relays.keySet().retainAll(relaysOnPages);
             position = loadEpoch;
             enter(State.LIVE);
             touched(now);
@@ -228,6 +284,7 @@
       loadEpoch = null;
       loadAfter = Optional.empty();
       leaderOnPages = false;
+      relaysOnPages.clear();
     } else {
       everLive = true;
     }
@@ -244,6 +301,11 @@
               .filter(StoredValue.LeaderRecord.class::isInstance)
               .map(v -> new Leader((StoredValue.LeaderRecord) v, new Token(stamp.value())));
       listener.leaderChanged(clock);
+    } else if (key.startsWith(Keys.RELAYS)) {
+      relays.remove(key);
+      if (value.isPresent() && value.get() instanceof StoredValue.RelayRecord relay) {
+        relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
+      }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
       KnownJob known = jobs.get(record.spec().id());
       if (known == null || known.stamp().compareTo(stamp) < 0) {
