--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserDesk.java
@@ -73,7 +73,7 @@
   public void serve(UserRequest request, Consumer<Response> answer) {
     Optional<KnownJob> known = view.job(request.job());
     if (known.isPresent() && known.get().phase().isFinal()) {
-      answer.accept(status(known.get(), false));
+      answer.accept(status(known.get()));
       return;
     }
     if (request instanceof UserRequest.Submit submit) {
@@ -81,7 +81,7 @@
     } else if (request instanceof UserRequest.Withdraw) {
       withdraw(request.job(), MOST_TRIES, answer);
     } else {
-      current(request.job(), answer, job -> answer.accept(status(job, false)), 404);
+      current(request.job(), answer, job -> answer.accept(status(job)), 404);
     }
   }
 
@@ -103,7 +103,7 @@
   private void submit(UserRequest.Submit request, Consumer<Response> answer) {
     Response verdict = verdict(request);
     if (verdict == null && view.job(request.job()).isEmpty()) {
-      create(request.spec().orElseThrow(), MOST_TRIES, answer);
+      create(request.spec().orElseThrow(), answer);
       return;
     }
     // A job that is known already is answered with its state, whatever the body says now.
@@ -114,11 +114,11 @@
           if (!known) {
             answer.accept(Response.unavailable("state service out of reach", SOON));
           } else if (job.isPresent()) {
-            answer.accept(status(job.get(), false));
+            answer.accept(status(job.get()));
           } else if (verdict != null) {
             answer.accept(verdict);
           } else {
-            create(request.spec().orElseThrow(), MOST_TRIES, answer);
+            create(request.spec().orElseThrow(), answer);
           }
         });
   }
@@ -151,7 +151,7 @@
     return fits ? null : Response.refusal(422, "a task fits no allowed machine type");
   }
 
-  private void create(JobSpec spec, int tries, Consumer<Response> answer) {
+  private void create(JobSpec spec, Consumer<Response> answer) {
     String key = Keys.job(spec.id());
     JobRecord record = new JobRecord(spec, JobRecord.Phase.OPEN, wall);
     outbox.call(
@@ -164,7 +164,7 @@
             LOG.info("job {} accepted, {} tasks", spec.id(), spec.tasks());
             answer.accept(new Response.JobStatus(true, spec.id(), Response.JobState.QUEUED, 0, 0));
           } else if (reply instanceof Answer.Conflict) {
-            current(spec.id(), answer, job -> answer.accept(status(job, false)), 503);
+            current(spec.id(), answer, job -> answer.accept(status(job)), 503);
           } else {
             // Perhaps stored, perhaps not, perhaps later: the user asks again.
             answer.accept(Response.unavailable("state service out of reach", SOON));
@@ -178,7 +178,7 @@
         answer,
         job -> {
           if (job.phase().isFinal()) {
-            answer.accept(status(job, false));
+            answer.accept(status(job));
           } else if (tries <= 0) {
             answer.accept(Response.unavailable("job is changing", SOON));
           } else {
@@ -209,16 +209,15 @@
         });
   }
 
-  private Response status(KnownJob job, boolean created) {
+  private Response status(KnownJob job) {
     PeerMessage.Counts count = counts.getOrDefault(job.id(), new PeerMessage.Counts(0, 0));
     return switch (job.phase()) {
-      case DONE ->
-          new Response.JobStatus(created, job.id(), Response.JobState.DONE, job.tasks(), 0);
+      case DONE -> new Response.JobStatus(false, job.id(), Response.JobState.DONE, job.tasks(), 0);
       case WITHDRAWN ->
-          new Response.JobStatus(created, job.id(), Response.JobState.CANCELLED, count.done(), 0);
+          new Response.JobStatus(false, job.id(), Response.JobState.CANCELLED, count.done(), 0);
       case OPEN ->
           new Response.JobStatus(
-              created,
+              false,
               job.id(),
               count.running() > 0 ? Response.JobState.RUNNING : Response.JobState.QUEUED,
               count.done(),
--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -24,7 +24,7 @@
    * evenly, they would hold on to the whole fleet when there is little else to do. Those of one job
    * keep apart all the same, since they should not be lost together.
    */
-  private static final double ALONE = 1;
+  private static final double ALONE = 0.3;
 
   private final Policy.Hosts policy;
 
--- a/src/main/java/org/oakwalk/daemon/PlatformSettings.java
+++ b/src/main/java/org/oakwalk/daemon/PlatformSettings.java
@@ -28,6 +28,9 @@
     Sockets sockets) {
   private static final double DEFAULT_SOCKETS = 1024;
 
+  /** A job's record and a part of its results may take nearly as much. */
+  private static final double LEAST_VALUE_KB = 4;
+
   /** Reads and checks the file. */
   public static PlatformSettings read(Path file) throws BadSettings {
     JsonNode root;
@@ -125,6 +128,9 @@
               Span.seconds(number("report_s", 0.01, 3600)),
               Span.seconds(number("lease_s", 0.1, 86400)),
               Span.seconds(number("cancel_s", 0.1, 86400)));
+      if (workers.report().compareTo(workers.lease()) >= 0) {
+        throw bad("lease_s", "must be larger than report_s");
+      }
       if (workers.lease().compareTo(workers.cancel()) >= 0) {
         throw bad("cancel_s", "must be larger than lease_s");
       }
@@ -135,7 +141,7 @@
       return new Settings.StateLimits(
           number("rps", 1, 1e9),
           number("write_rps", 1, 1e9),
-          number("value_kb", 1, 1e6),
+          number("value_kb", LEAST_VALUE_KB, 1e6),
           (int) number("txn_ops", 1, 1e6));
     }
 
--- a/src/test/java/org/oakwalk/daemon/SettingsTest.java
+++ b/src/test/java/org/oakwalk/daemon/SettingsTest.java
@@ -79,6 +79,8 @@
         "node = \"n-0\" | node = 7 | node",
         "lease_s = 20.0 | lease_s = -1.0 | facts.workers.lease_s",
         "lease_s = 20.0 | lease_s = 50.0 | facts.workers.cancel_s",
+        "report_s = 3.0 | report_s = 20.0 | facts.workers.lease_s",
+        "value_kb = 4.0 | value_kb = 1.0 | facts.state.value_kb",
         "rps = 80.0 | rps = nan | facts.state.rps",
         "txn_ops = 8 | txn = 8 | facts.state.txn_ops",
         "serve_on = \"127.0.0.1:0\" | serve_on = \"here\" | serve_on",
