Candidates are listed once a job, not once a task; the share that can't wait is not used again

A round listed the candidates anew for each of up to 3,500 tasks; the list is the same for all of a job unless zones matter, and the choice is made from it as before.

--- a/deploy/policy.example.hcl
+++ b/deploy/policy.example.hcl
@@ -21,7 +21,7 @@
 }
 
 capacity {
-  headroom        = 0.25
+  headroom        = 0.15
   spare_machines  = 2
   idle_s          = 40
   spot_share      = 0.5
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -40,6 +40,7 @@
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
   private static final double OVERDUE = 0.7;
+  private static final double TOTAL_HALVES_IN_SECONDS = 40;
   private static final double LOOSE_HEADROOM = 0.3;
 
   private final Outbox outbox;
@@ -288,14 +289,10 @@
       double loose = peak(loosePeaks, type, need.total() - need.tight(), LOOSE_HALVES_IN_SECONDS);
       // The two peaks belong to different moments, so together they ask for more than was ever
       // asked for at once; over a large fleet that is most of the money.
-      // The more of it can't wait for a boot, the longer room stands ready, and the more.
-      double share = tight / Math.max(1e-9, tight + loose);
-      double halves =
-          LOOSE_HALVES_IN_SECONDS + share * (TIGHT_HALVES_IN_SECONDS - LOOSE_HALVES_IN_SECONDS);
-      double total = peak(totalPeaks, type, need.total(), halves);
+      double total = peak(totalPeaks, type, need.total(), TOTAL_HALVES_IN_SECONDS);
       double ready =
           Math.min(
-              total * (1 + policy.headroom() * (1 + share) / 2),
+              total * (1 + policy.headroom()),
               tight * (1 + policy.headroom()) + loose * (1 + policy.headroom() * LOOSE_HEADROOM));
       // With nothing to do at all, the spare machines go as well.
       int wanted = need.total() <= 0 ? 0 : (int) Math.ceil(ready) + policy.spareMachines();
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -166,12 +166,18 @@
     if (spec.gang()) {
       return placeGang(job, machines, zones, now);
     }
+    // All tasks of a job share the list, unless where one goes says where the next may go.
+    boolean zonesMatter = spec.oneZone() || spec.spread();
+    List<Machine> candidates = candidates(job, machines, zones);
     int index = job.nextPending(0, now);
     while (index >= 0) {
       if (!quota.allows(job, 1)) {
         return Outcome.LIMITED;
       }
-      Machine machine = pick(job, index, machines, zones, now);
+      if (zonesMatter) {
+        candidates = candidates(job, machines, zones);
+      }
+      Machine machine = pick(job, index, candidates, now);
       if (spec.service() && (machine == null || tooCold(spec, machine))) {
         Outcome outcome = warmPlace(job, machines, zones, now);
         if (outcome != null) {
@@ -270,18 +276,17 @@
     }
   }
 
-  private Machine pick(
-      Job job, int index, List<Machine> machines, Map<String, Integer> zones, Moment now) {
-    List<Machine> candidates = candidates(job, machines, zones);
+  private Machine pick(Job job, int index, List<Machine> candidates, Moment now) {
     Span run = runTimes.expected(job.spec());
     Machine machine = hosts.choose(job.spec(), candidates, run, now);
     TaskId task = new TaskId(job.id(), index);
-    while (machine != null && machine.remembers(task)) {
-      // A run would be refused while the machine still reports an older attempt.
-      candidates.remove(machine);
-      machine = hosts.choose(job.spec(), candidates, run, now);
+    if (machine == null || !machine.remembers(task)) {
+      return machine;
     }
-    return machine;
+    // A run would be refused while a machine still reports an older attempt.
+    List<Machine> others = new ArrayList<>(candidates);
+    others.removeIf(other -> other.remembers(task));
+    return hosts.choose(job.spec(), others, run, now);
   }
 
   /** Machines that the job allows, given where its other tasks are. */
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -318,6 +318,8 @@
         + world.workers.values().stream().filter(SimWorker::alive).count()
         + ", rented "
         + world.cloud.rented
+        + ", writes "
+        + world.state.writes()
         + ", requests "
         + world.state.requests();
   }
