--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -61,6 +61,7 @@
   private Moment nextRelease = new Moment(Long.MIN_VALUE / 2);
   private String summary = "";
   private boolean listing;
+  private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
   private final Map<String, Double> tightPeaks = new HashMap<>();
   private final Map<String, Double> loosePeaks = new HashMap<>();
   private final Map<String, Double> totalPeaks = new HashMap<>();
@@ -211,7 +212,11 @@
     }
     // Many silent machines at once are out of reach rather than broken. They are left alone, also
     // when their leases have run out, since they come back when the network does.
-    if (quiet <= Math.max(2, (up + lapsed) / 6)) {
+    if (quiet > Math.max(2, (up + lapsed) / 6)) {
+      manyQuiet = now;
+    }
+    // When the network is back they report one after the other: the last few are not broken either.
+    if (now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()))) {
       for (Machine machine : silent) {
         // One machine that does not answer a new leader holds up all older jobs.
         if (machine.state() == Machine.State.UNCONFIRMED
