--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -117,47 +117,39 @@
               Math.max(largest.gpus(), room.gpus()),
               Math.max(largest.memoryGb(), room.memoryGb()));
     }
-    List<Job> waiting = new ArrayList<>();
-    int sharers = 0;
+    List<Ranked> ranked = new ArrayList<>();
     for (Job job : jobs.all()) {
       if (job.open()
           && job.pendingCount() > 0
           && (inheritedToo || !job.inherited())
           && job.nextPending(0, now) >= 0) {
-        waiting.add(job);
-        sharers += job.spec().service() ? 0 : 1;
+        double value =
+            score.of(
+                job,
+                remaining(job, machines),
+                now.since(job.waitingSince()),
+                largest,
+                quota.guarantees(job),
+                wall);
+        ranked.add(new Ranked(job, value));
       }
     }
-    List<Ranked> ranked = new ArrayList<>();
-    for (Job job : waiting) {
-      double value =
-          score.of(
-              job,
-              remaining(job, machines, sharers),
-              now.since(job.waitingSince()),
-              largest,
-              quota.guarantees(job),
-              wall);
-      ranked.add(new Ranked(job, value));
-    }
     ranked.sort(
         Comparator.comparingDouble((Ranked r) -> -r.score()).thenComparing(r -> r.job().stamp()));
     return ranked;
   }
 
   /**
-   * The time until a job could be complete: a run of one task, and before it what its share of the
-   * machines needs for the others. All arrays that wait share alike, so where there is too much to
-   * do, large ones are the first to be late, and not everything a little.
+   * The time until a job could be complete: a run of one task, and before it what all machines
+   * together need for the others. Of two jobs with equal tasks the one with fewer left goes first.
    */
-  private Span remaining(Job job, List<Machine> machines, int sharers) {
+  private Span remaining(Job job, List<Machine> machines) {
     Span run = runTimes.expected(job.spec());
     int places = 0;
     for (Machine machine : machines) {
       places += machine.type().room().count(job.spec().room());
     }
-    double share = Math.max(1, places / (double) Math.max(1, sharers));
-    return run.plus(run.times(job.pendingCount() / share));
+    return run.plus(run.times(job.pendingCount() / (double) Math.max(1, places)));
   }
 
   private enum Outcome {
