Standing still is told apart from the silence of others

Time was also read once for an event and used after others had been handled. Change: a gap between two events is noticed; after it no machine is blamed for a while, and nothing is placed, rented or returned before the store has been read anew. Time is read as each event is handed to the core. The scenario language freezes nodes between deciding and sending. Ruled out by scenarios: double starts, runs of withdrawn jobs and lost work when a leader, a follower, a relaying follower or a leader taking over stands still.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -34,6 +34,11 @@
   private static final Span DIGEST_COUNTS_FOR = Span.millis(2500);
   private static final Span SOON = Span.seconds(1);
 
+  /** Ticks come far more often; after a longer gap this process itself stood still. */
+  private static final Span STOOD_STILL = Span.seconds(1);
+
+  private static final Span INFORMED_WITHIN = Span.seconds(1);
+
   private final Settings settings;
   private final Outbox outbox = new Outbox();
   private final StoreView view;
@@ -46,6 +51,8 @@
   private Optional<NodeId> digestFrom = Optional.empty();
   private Moment digested = new Moment(Long.MIN_VALUE / 2);
   private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
+  private Optional<Moment> handled = Optional.empty();
+  private Moment awake = new Moment(Long.MIN_VALUE / 2);
   private Moment now = new Moment(0);
   private WallTime wall = new WallTime(0);
 
@@ -121,6 +128,12 @@
   public List<Effect> handle(Event event, Moment steady, WallTime dayTime) {
     now = steady;
     wall = dayTime;
+    if (handled.isPresent() && now.past(handled.get(), STOOD_STILL)) {
+      LOG.info("stood still for {}", now.since(handled.get()));
+      awake = now;
+      reign.ifPresent(r -> r.stoodStill(now));
+    }
+    handled = Optional.of(now);
     view.clock(now);
     desk.clock(now, wall);
     step(event);
@@ -161,7 +174,8 @@
     relay.tick(leadership.reigning(), now);
     catalogue.tick(leadership.reigning(), now);
     desk.types(catalogue.types());
-    reign.ifPresent(r -> r.tick(catalogue.types(), leadership.mayAnswer(now), now, wall));
+    reign.ifPresent(
+        r -> r.tick(catalogue.types(), leadership.mayAnswer(now) && informed(), now, wall));
     if (reign.isPresent() && !nextDigest.isAfter(now)) {
       nextDigest = now.plus(DIGEST_EVERY);
       digest(reign.get());
@@ -172,6 +186,15 @@
     }
   }
 
+  /**
+   * Whether the store has been read since this process last stood still. Before that it may have
+   * been succeeded without knowing, and places, rents and returns nothing; where the store can't be
+   * read either, it goes on after a moment like any leader that has lost the store.
+   */
+  private boolean informed() {
+    return !awake.isAfter(view.contact()) || now.past(awake, INFORMED_WITHIN);
+  }
+
   private void digest(Reign current) {
     Map<JobId, PeerMessage.Counts> counts = current.counts();
     desk.counts(counts);
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -162,6 +162,11 @@
     }
   }
 
+  /** This process stood still until now, so that nobody's silence tells anything. */
+  void stoodStill(Moment now) {
+    capacity.stoodStill(now);
+  }
+
   void peerSettled(NodeId peer, Moment now) {
     recovery.settled(peer, now);
   }
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -107,6 +107,14 @@
     }
   }
 
+  /**
+   * This process stood still until now: what came in meanwhile has not been read, so for a while no
+   * machine is taken for silent and no boot for late.
+   */
+  public void stoodStill(Moment now) {
+    manyQuiet = now;
+  }
+
   private void list(Optional<MachineId> after, Moment now) {
     listing = true;
     outbox.call(
@@ -170,9 +178,12 @@
       switch (machine.state()) {
         case BOOTING -> {
           Span patience = machine.type().boot().times(4);
-          if (now.past(
-              machine.known(),
-              patience.compareTo(policy.bootPatience()) < 0 ? patience : policy.bootPatience())) {
+          if (listens(now)
+              && now.past(
+                  machine.known(),
+                  patience.compareTo(policy.bootPatience()) < 0
+                      ? patience
+                      : policy.bootPatience())) {
             LOG.info("machine {} never came up", machine.id());
             returnMachine(machine);
           }
@@ -216,7 +227,7 @@
       manyQuiet = now;
     }
     // When the network is back they report one after the other: the last few are not broken either.
-    if (now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()))) {
+    if (listens(now)) {
       for (Machine machine : silent) {
         // One machine that does not answer a new leader holds up all older jobs.
         if (machine.state() == Machine.State.UNCONFIRMED
@@ -228,6 +239,11 @@
     }
   }
 
+  /** Whether silence tells anything: not when many were silent at once a short time ago. */
+  private boolean listens(Moment now) {
+    return now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()));
+  }
+
   private static boolean unfit(Machine machine) {
     return machine.faulty() || machine.slow();
   }
--- a/src/main/java/org/oakwalk/daemon/EventLoop.java
+++ b/src/main/java/org/oakwalk/daemon/EventLoop.java
@@ -72,7 +72,7 @@
         long now = steadyMillis();
         if (now >= nextTick) {
           nextTick = now + TICK_MILLIS;
-          handle(new Event.Tick(), now);
+          handle(new Event.Tick());
           histograms.record(Histograms.Kind.ROUND, Span.millis(steadyMillis() - now));
           histograms.tick(now);
         }
@@ -87,9 +87,9 @@
               && asks.request() instanceof UserRequest.Submit) {
             submissions.put(asks.exchange(), now);
           }
-          handle(event, now);
+          handle(event);
         }
-        outside.pump(now);
+        outside.pump(steadyMillis());
       } catch (InterruptedException e) {
         return;
       } catch (RuntimeException e) {
@@ -99,7 +99,12 @@
     }
   }
 
-  private void handle(Event event, long now) {
+  /**
+   * Hands an event to the core with the time as it is now. Were it the time at which the event
+   * came, a process that stood still in between would act on bounds that have long passed.
+   */
+  private void handle(Event event) {
+    long now = steadyMillis();
     for (Effect effect :
         controller.handle(event, new Moment(now), new WallTime(System.currentTimeMillis()))) {
       if (effect instanceof Effect.Respond respond) {
@@ -116,9 +121,7 @@
             measured.span());
       } else if (effect instanceof Effect.Call call) {
         outside.call(
-            call.request(),
-            now,
-            answer -> handle(new Event.Answered(call.call(), answer), steadyMillis()));
+            call.request(), now, answer -> handle(new Event.Answered(call.call(), answer)));
       }
     }
   }
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -155,6 +155,7 @@
                     node.start();
                   });
       case "refuse" -> nodes(line.word(3)).forEach(node -> node.refuse(line.number("for", 10)));
+      case "freeze" -> nodes(line.word(3)).forEach(node -> node.freeze(line.number("for", 10)));
       case "full" -> nodes(line.word(3)).forEach(node -> node.full(line.number("for", 10)));
       case "outage" -> {
         if (line.word(3).equals("state")) {
--- a/src/test/java/org/oakwalk/scenario/SimNode.java
+++ b/src/test/java/org/oakwalk/scenario/SimNode.java
@@ -1,6 +1,8 @@
 package org.oakwalk.scenario;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.oakwalk.core.Controller;
@@ -22,6 +24,8 @@
   private static final long TICK = 50;
   private static final long STATE_WAIT = 1200;
   private static final long OTHER_WAIT = 3000;
+  private static final long BETWEEN_MILLIS = 110;
+  private static final long UNHEALTHY_AFTER_MILLIS = 2000;
 
   private final World world;
   final NodeId id;
@@ -33,6 +37,18 @@
   private final Map<ExchangeId, Consumer<Response>> open = new HashMap<>();
   private long refusedByStateUntil;
   private long fullUntil;
+  private Stillness stillness = Stillness.NONE;
+  private long stoodSince;
+  private final List<Runnable> waiting = new ArrayList<>();
+  private final List<Runnable> unsent = new ArrayList<>();
+
+  /** Whether the process runs, or stands still while its clocks go on. */
+  private enum Stillness {
+    NONE,
+    /** About to stop: what it decides from here on leaves it only when it goes on. */
+    BETWEEN,
+    STILL
+  }
 
   SimNode(World world, NodeId id, String zone) {
     this.world = world;
@@ -52,6 +68,7 @@
     life++;
     up = true;
     open.clear();
+    forgetStillness();
     controller = new Controller(world.settingsOf(this), Policy.defaults(), id + "-life-" + life);
     tick(life);
   }
@@ -59,6 +76,71 @@
   void crash() {
     up = false;
     open.clear();
+    forgetStillness();
+  }
+
+  private void forgetStillness() {
+    stillness = Stillness.NONE;
+    waiting.clear();
+    unsent.clear();
+  }
+
+  /**
+   * The process stands still while its clocks run on. What it decides in the last moment before
+   * that, it has checked but not sent: that leaves first when it goes on, and only then does it
+   * take what came in meanwhile, in an order of its own: timers that are due before the rest.
+   */
+  void freeze(double seconds) {
+    int of = life;
+    stillness = Stillness.BETWEEN;
+    world.time.after(
+        BETWEEN_MILLIS,
+        () -> {
+          if (of == life && up) {
+            stillness = Stillness.STILL;
+            stoodSince = world.time.now();
+            world.time.after(Math.round(seconds * 1000), () -> goOn(of));
+          }
+        });
+  }
+
+  private void goOn(int of) {
+    if (of == life && up) {
+      List<Runnable> late = new ArrayList<>(unsent);
+      late.add(() -> handle(new Event.Tick()));
+      late.addAll(waiting);
+      forgetStillness();
+      late.forEach(Runnable::run);
+    }
+  }
+
+  /** Whether the load balancer would still take it for healthy. */
+  boolean healthy() {
+    return up
+        && (stillness != Stillness.STILL || world.time.now() - stoodSince < UNHEALTHY_AFTER_MILLIS);
+  }
+
+  /** Whether it does anything at present. */
+  boolean active() {
+    return up && stillness != Stillness.STILL;
+  }
+
+  /** Runs something in the process, now or when it goes on. */
+  private void inside(Runnable action) {
+    if (stillness == Stillness.STILL) {
+      waiting.add(action);
+    } else {
+      action.run();
+    }
+  }
+
+  /** Something leaves the process, now or when it goes on. */
+  private void outside(Runnable action) {
+    if (stillness == Stillness.BETWEEN) {
+      unsent.add(action);
+    } else {
+      action.run();
+    }
   }
 
   /** The state service answers 503 to this node alone. */
@@ -73,7 +155,9 @@
 
   private void tick(int of) {
     if (up && of == life) {
-      handle(new Event.Tick());
+      if (stillness != Stillness.STILL) {
+        handle(new Event.Tick());
+      }
       world.time.after(TICK, () -> tick(of));
     }
   }
@@ -84,10 +168,11 @@
       if (effect instanceof Effect.Respond respond) {
         Consumer<Response> then = open.remove(respond.exchange());
         if (then != null) {
-          then.accept(respond.response());
+          outside(() -> then.accept(respond.response()));
         }
       } else if (effect instanceof Effect.Call call) {
-        call(call, life);
+        int of = life;
+        outside(() -> call(call, of));
       }
     }
   }
@@ -98,7 +183,7 @@
         answer -> {
           if (!answered[0] && up && of == life) {
             answered[0] = true;
-            handle(new Event.Answered(call.call(), answer));
+            inside(() -> handle(new Event.Answered(call.call(), answer)));
           }
         };
     Request request = call.request();
@@ -154,7 +239,7 @@
     if (up) {
       ExchangeId exchange = new ExchangeId(++exchanges);
       open.put(exchange, then);
-      handle(event.apply(exchange));
+      inside(() -> handle(event.apply(exchange)));
     }
   }
 
--- a/src/test/java/org/oakwalk/scenario/World.java
+++ b/src/test/java/org/oakwalk/scenario/World.java
@@ -88,7 +88,7 @@
   Optional<SimNode> someNode() {
     for (int i = 0; i < nodes.size(); i++) {
       SimNode node = nodes.get(turn++ % nodes.size());
-      if (node.up()) {
+      if (node.healthy()) {
         return Optional.of(node);
       }
     }
@@ -97,6 +97,6 @@
 
   /** The node that a reporting worker would be answered by; empty if none leads. */
   Optional<SimNode> leader() {
-    return nodes.stream().filter(SimNode::up).filter(SimNode::leads).findFirst();
+    return nodes.stream().filter(SimNode::active).filter(SimNode::leads).findFirst();
   }
 }
