Reports are carried to a leader that workers can't reach; it then steps aside

Ruled out: the freezes before it (no task ended by a lease then), the state service, sockets. Change: a follower that hears the leader carries the reports of workers that come back from it, with the leader's orders in the answer; a leader that hardly any machine reaches directly steps aside, not within 20 s of its rise; machines out of reach together are not rented again; a follower names no leader that it has not heard of for long.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.UserDesk;
+import org.oakwalk.core.leadership.Detour;
 import org.oakwalk.core.leadership.Leadership;
 import org.oakwalk.core.leadership.Relay;
 import org.oakwalk.core.port.Answer;
@@ -37,6 +38,7 @@
   /** Ticks come far more often; after a longer gap this process itself stood still. */
   private static final Span STOOD_STILL = Span.seconds(1);
 
+  private static final Span NAMES_LEADER_FOR = Span.seconds(5);
   private static final Span INFORMED_WITHIN = Span.seconds(1);
 
   private final Settings settings;
@@ -44,6 +46,7 @@
   private final StoreView view;
   private final Leadership leadership;
   private final Relay relay;
+  private final Detour detour = new Detour();
   private final UserDesk desk;
   private final Catalogue catalogue;
   private Optional<Reign> reign = Optional.empty();
@@ -146,19 +149,7 @@
     } else if (event instanceof Event.Answered answered) {
       outbox.answered(answered.call(), answered.answer());
     } else if (event instanceof Event.WorkerReports reports) {
-      if (reign.isPresent()) {
-        outbox.respond(reports.exchange(), report(reports.report()));
-      } else {
-        relay.answer(
-            reports.report(),
-            now,
-            token ->
-                outbox.respond(
-                    reports.exchange(),
-                    token.isPresent()
-                        ? new Response.Orders(token.get(), haltsOf(reports.report()))
-                        : elsewhere()));
-      }
+      worker(reports);
     } else if (event instanceof Event.UserAsks asks) {
       serve(asks);
     } else if (event instanceof Event.HealthAsked asked) {
@@ -168,12 +159,48 @@
     }
   }
 
+  /** A worker reports: to the leader itself, or to a follower that may have to stand in. */
+  private void worker(Event.WorkerReports reports) {
+    Report report = reports.report();
+    if (reign.isPresent()) {
+      outbox.respond(reports.exchange(), report(report, false));
+    } else if (detour.carries(report, now)) {
+      carry(reports, detour.leader(now).orElseThrow());
+    } else {
+      relay.answer(
+          report,
+          now,
+          token ->
+              outbox.respond(
+                  reports.exchange(),
+                  token.isPresent()
+                      ? new Response.Orders(token.get(), haltsOf(report))
+                      : elsewhere()));
+    }
+  }
+
+  private void carry(Event.WorkerReports reports, NodeId leader) {
+    outbox.call(
+        new Request.Tell(leader, new PeerMessage.Carry(reports.report())),
+        answer ->
+            outbox.respond(
+                reports.exchange(),
+                answer instanceof Answer.Told told
+                        && told.message() instanceof PeerMessage.Carried carried
+                        && carried.token().isPresent()
+                    ? new Response.Orders(carried.token().get(), carried.orders())
+                    : elsewhere()));
+  }
+
   private void tick() {
     view.tick(now);
     leadership.tick(now);
     relay.tick(leadership.reigning(), now);
     catalogue.tick(leadership.reigning(), now);
     desk.types(catalogue.types());
+    if (reign.isPresent() && leadership.mayStepAside(now) && reign.get().blind(now)) {
+      leadership.stepAside(now);
+    }
     reign.ifPresent(
         r -> r.tick(catalogue.types(), leadership.mayAnswer(now) && informed(), now, wall));
     if (reign.isPresent() && !nextDigest.isAfter(now)) {
@@ -215,12 +242,12 @@
     }
   }
 
-  private Response report(Report report) {
+  private Response report(Report report, boolean carried) {
     if (reign.isPresent() && report.token().compareTo(reign.get().token()) > 0) {
       leadership.higherTokenSeen(report.token(), now);
     }
     if (reign.isPresent() && leadership.mayAnswer(now)) {
-      Optional<List<Order>> orders = reign.get().report(report, now);
+      Optional<List<Order>> orders = reign.get().report(report, carried, now);
       return orders.isPresent()
           ? new Response.Orders(reign.get().token(), orders.get())
           : Response.unavailable("machine types not known yet", SOON);
@@ -228,10 +255,19 @@
     return elsewhere();
   }
 
+  /**
+   * Sends a worker to the leader, if this node knows of one. What it read of the store long ago
+   * tells nothing: a worker would go to and fro between this node and one that doesn't lead.
+   */
   private Response elsewhere() {
     return new Response.Elsewhere(
-        view.leader()
-            .map(leader -> leader.record().node())
+        detour
+            .leader(now)
+            .or(
+                () ->
+                    view.leader()
+                        .filter(leader -> !now.past(view.contact(), NAMES_LEADER_FOR))
+                        .map(leader -> leader.record().node()))
             .filter(node -> !node.equals(settings.node())));
   }
 
@@ -293,6 +329,7 @@
     if (says.message() instanceof PeerMessage.Digest digest) {
       leadership.higherTokenSeen(digest.token(), now);
       relay.heard(digest.token(), now);
+      detour.heard(digest.from(), digest.token(), now);
       if (reign.isEmpty()) {
         desk.counts(digest.counts());
         if (digest.serves()) {
@@ -308,6 +345,14 @@
       outbox.respond(
           says.exchange(),
           new Response.ToPeer(new PeerMessage.Acknowledged(settings.node(), false)));
+    } else if (says.message() instanceof PeerMessage.Carry carry) {
+      Response response = report(carry.report(), true);
+      outbox.respond(
+          says.exchange(),
+          new Response.ToPeer(
+              response instanceof Response.Orders orders
+                  ? new PeerMessage.Carried(Optional.of(orders.token()), orders.orders())
+                  : new PeerMessage.Carried(Optional.empty(), List.of())));
     } else if (says.message() instanceof PeerMessage.Forward forward) {
       desk.serve(
           forward.request(),
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -132,7 +132,7 @@
   }
 
   /** Orders for a worker that reports, or nothing if the report can't be used yet. */
-  Optional<List<Order>> report(Report report, Moment now) {
+  Optional<List<Order>> report(Report report, boolean carried, Moment now) {
     clock = now;
     if (!recovery.readsReports()) {
       return Optional.of(List.of());
@@ -141,6 +141,7 @@
     if (machine.isEmpty()) {
       return Optional.empty();
     }
+    machine.get().carried(carried);
     evacuate(machine.get(), now);
     return Optional.of(fleet.respond(machine.get(), now));
   }
@@ -162,6 +163,11 @@
     }
   }
 
+  /** Whether hardly any machine reaches this node, though there are some. */
+  boolean blind(Moment now) {
+    return recovery.complete() && capacity.blind(now);
+  }
+
   /** This process stood still until now, so that nobody's silence tells anything. */
   void stoodStill(Moment now) {
     capacity.stoodStill(now);
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -42,6 +42,10 @@
   private static final double OVERDUE = 0.7;
   private static final double TOTAL_HALVES_IN_SECONDS = 40;
   private static final double LOOSE_HEADROOM = 0.3;
+  private static final Span ON_ITS_WAY = Span.seconds(7);
+  private static final Span OUT_OF_REACH = Span.seconds(10);
+  private static final int LEAST_TO_JUDGE = 3;
+  private static final double NEARLY_ALL = 0.75;
 
   private final Outbox outbox;
   private final Fleet fleet;
@@ -62,6 +66,7 @@
   private String summary = "";
   private boolean listing;
   private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
+  private Moment stoodStill = new Moment(Long.MIN_VALUE / 2);
   private final Map<String, Double> tightPeaks = new HashMap<>();
   private final Map<String, Double> loosePeaks = new HashMap<>();
   private final Map<String, Double> totalPeaks = new HashMap<>();
@@ -113,6 +118,7 @@
    */
   public void stoodStill(Moment now) {
     manyQuiet = now;
+    stoodStill = now;
   }
 
   private void list(Optional<MachineId> after, Moment now) {
@@ -193,7 +199,7 @@
           // Reports come at their own times, so of machines that a cut takes all at once some seem
           // silent well before the others; who is overdue already counts as well.
           quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
-          if (now.past(machine.heard(), suspectAfter)) {
+          if (now.past(machine.heard(), patience(machine))) {
             silent.add(machine);
           } else if (unfit(machine) && !machine.draining()) {
             LOG.info(
@@ -239,6 +245,28 @@
     }
   }
 
+  /** A machine that can't reach this node is off trying to now and then. */
+  private Span patience(Machine machine) {
+    return machine.carried() ? suspectAfter.plus(ON_ITS_WAY) : suspectAfter;
+  }
+
+  /**
+   * Whether hardly any machine reaches this node, though there are some: it is cut off from them.
+   */
+  public boolean blind(Moment now) {
+    int up = 0;
+    int unreached = 0;
+    for (Machine machine : fleet.machines()) {
+      if (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED) {
+        up++;
+        unreached += machine.carried() || now.past(machine.heard(), suspectAfter) ? 1 : 0;
+      }
+    }
+    return up >= LEAST_TO_JUDGE
+        && unreached >= up * NEARLY_ALL
+        && now.past(stoodStill, suspectAfter.plus(policy.suspectAfter()));
+  }
+
   /** Whether silence tells anything: not when many were silent at once a short time ago. */
   private boolean listens(Moment now) {
     return now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()));
@@ -457,7 +485,10 @@
     return switch (machine.state()) {
       case BOOTING -> !now.past(machine.known(), machine.type().boot().times(2));
       case ENROLLING, UNCONFIRMED -> true;
-      case UP -> !machine.draining() && !now.past(machine.heard(), suspectAfter);
+      // Many silent at once are out of reach for a while; to rent as many again would be waste.
+      case UP ->
+          !machine.draining()
+              && !now.past(machine.heard(), listens(now) ? suspectAfter : OUT_OF_REACH);
       case LAPSED, RETURNING, GONE -> false;
     };
   }
--- a/src/main/java/org/oakwalk/core/fleet/Courier.java
+++ b/src/main/java/org/oakwalk/core/fleet/Courier.java
@@ -34,7 +34,9 @@
   /** Sends what is due. */
   public void flush(Moment now) {
     for (Machine machine : fleet.takeCommandable()) {
-      if (machine.session().isEmpty() || machine.address().isEmpty()) {
+      // A machine whose reports another controller carries is not reached by command either: its
+      // orders go out with the answer.
+      if (machine.session().isEmpty() || machine.address().isEmpty() || machine.carried()) {
         continue;
       }
       List<Order> orders = new ArrayList<>();
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -76,6 +76,7 @@
   private Moment blockedUntil;
   private Rental.Status listed;
   private boolean inDoubt;
+  private boolean carried;
   private boolean draining;
   private boolean retiring;
   private boolean faulty;
@@ -266,6 +267,15 @@
     retiring = on;
   }
 
+  /** Whether its last report came by way of another controller. */
+  public boolean carried() {
+    return carried;
+  }
+
+  public void carried(boolean on) {
+    carried = on;
+  }
+
   public void drain(boolean on) {
     draining = on;
   }
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/leadership/Detour.java
@@ -0,0 +1,119 @@
+package org.oakwalk.core.leadership;
+
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+
+/**
+ * Which workers' reports a follower carries to the leader, because their workers can't reach it
+ * while this node can. The leader's orders go back in the answer, so a leader that is cut from its
+ * workers alone loses none of them. Now and then each worker is sent to the leader all the same, to
+ * find out whether the way is free again.
+ */
+public final class Detour {
+  /** What this node has found out about a worker's way to the leader. */
+  public enum State {
+    /** Its report was carried once; nothing is known yet. */
+    VISITING,
+    /** It was sent to the leader. */
+    SENT_ON,
+    /** It came back from there, so its reports are carried for a while. */
+    STRANDED
+  }
+
+  private static final Map<State, Set<State>> LEGAL = new EnumMap<>(State.class);
+
+  static {
+    LEGAL.put(State.VISITING, EnumSet.of(State.SENT_ON));
+    LEGAL.put(State.SENT_ON, EnumSet.of(State.VISITING, State.STRANDED));
+    LEGAL.put(State.STRANDED, EnumSet.of(State.SENT_ON));
+  }
+
+  private static final Span HEARD_WITHIN = Span.millis(2500);
+
+  /** A worker waits 4 s for an answer and another second before it tries the next node. */
+  private static final Span BACK_WITHIN = Span.seconds(8);
+
+  private static final Span STRANDED_FOR = Span.seconds(15);
+
+  /** A worker that was here under the present leader. */
+  private static final class Guest {
+    State state;
+    Moment since;
+
+    Guest(State state, Moment since) {
+      this.state = state;
+      this.since = since;
+    }
+
+    /** The one place where the state changes. */
+    void enter(State next, Moment now) {
+      if (!LEGAL.get(state).contains(next)) {
+        throw new IllegalStateException("worker from " + state + " to " + next);
+      }
+      state = next;
+      since = now;
+    }
+  }
+
+  private final Map<MachineId, Guest> guests = new HashMap<>();
+  private Optional<NodeId> leader = Optional.empty();
+  private Token token = new Token(0);
+  private Moment heard = new Moment(Long.MIN_VALUE / 2);
+
+  /** A leader was heard over the link between controllers. */
+  public void heard(NodeId from, Token its, Moment now) {
+    if (its.compareTo(token) > 0) {
+      guests.clear();
+      token = its;
+    }
+    if (its.equals(token)) {
+      leader = Optional.of(from);
+      heard = now;
+    }
+  }
+
+  /** The leader, if it has been heard a moment ago. */
+  public Optional<NodeId> leader(Moment now) {
+    return now.past(heard, HEARD_WITHIN) ? Optional.empty() : leader;
+  }
+
+  /** Whether this report is to be carried, rather than its worker sent on to the leader. */
+  public boolean carries(Report report, Moment now) {
+    if (leader(now).isEmpty()) {
+      return false;
+    }
+    Guest guest = guests.get(report.machine());
+    if (guest == null) {
+      // Who has the leader's token has been answered by it, and left it for a reason.
+      boolean known = report.token().equals(token);
+      guests.put(report.machine(), new Guest(known ? State.VISITING : State.SENT_ON, now));
+      return known;
+    }
+    switch (guest.state) {
+      case VISITING -> guest.enter(State.SENT_ON, now);
+      case SENT_ON -> {
+        boolean back = !now.past(guest.since, BACK_WITHIN);
+        guest.enter(back ? State.STRANDED : State.VISITING, now);
+        return true;
+      }
+      case STRANDED -> {
+        if (!now.past(guest.since, STRANDED_FOR)) {
+          return true;
+        }
+        guest.enter(State.SENT_ON, now);
+      }
+      default -> throw new IllegalStateException("worker in " + guest.state);
+    }
+    return false;
+  }
+}
--- a/src/main/java/org/oakwalk/core/leadership/Leadership.java
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -68,6 +68,12 @@
   private static final Span RENEW = Span.millis(700);
   private static final Span RETRY = Span.millis(200);
 
+  /** A leader does not step aside sooner, so that two half-cut nodes don't pass it to and fro. */
+  private static final Span LEADS_AT_LEAST = Span.seconds(20);
+
+  /** How long a node that has stepped aside leaves it to the others. */
+  private static final Span STANDS_BACK = Span.seconds(5);
+
   private final Outbox outbox;
   private final StoreView view;
   private final NodeId node;
@@ -79,6 +85,7 @@
   private Token token;
   private HoldId hold;
   private Moment leaseFrom;
+  private Moment rose = new Moment(Long.MIN_VALUE / 2);
   private Moment nextStep = new Moment(Long.MIN_VALUE / 2);
   private boolean calling;
 
@@ -143,6 +150,7 @@
     if (state == State.CLAIMING) {
       if (mine) {
         token = leader.get().token();
+        rose = now;
         enter(State.LEADING);
         listener.rises(token, now);
       } else if (leader.isPresent()) {
@@ -153,6 +161,18 @@
     }
   }
 
+  /** Whether it could leave leading to others now: not soon after it began. */
+  public boolean mayStepAside(Moment now) {
+    return state == State.LEADING && now.past(rose, LEADS_AT_LEAST) && view.fresh(now);
+  }
+
+  /** Leaves leading to the others, which may reach those that this node can't reach. */
+  public void stepAside(Moment now) {
+    LOG.info("stepping aside, token {}", token);
+    fall(now);
+    nextStep = now.plus(STANDS_BACK);
+  }
+
   /** Somebody showed a token above this node's own: another node leads. */
   public void higherTokenSeen(Token seen, Moment now) {
     if (reigning() && seen.compareTo(token) > 0) {
--- a/src/main/java/org/oakwalk/core/port/PeerMessage.java
+++ b/src/main/java/org/oakwalk/core/port/PeerMessage.java
@@ -1,8 +1,12 @@
 package org.oakwalk.core.port;
 
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.Report;
 import org.oakwalk.core.Token;
 
 /** What controllers say to each other. */
@@ -27,6 +31,12 @@
   /** Asks whether the receiver can be reached at all. */
   record Probe(NodeId from) implements PeerMessage {}
 
+  /** A worker's report that reached its receiver instead of the leader. */
+  record Carry(Report report) implements PeerMessage {}
+
+  /** The leader's answer to a carried report; without a token it does not lead. */
+  record Carried(Optional<Token> token, List<Order> orders) implements PeerMessage {}
+
   /** A user's request that its receiver cannot serve, for lack of the state service. */
   record Forward(UserRequest request) implements PeerMessage {}
 
--- a/src/main/java/org/oakwalk/wire/PeerCodec.java
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -39,6 +39,13 @@
     } else if (message instanceof PeerMessage.Probe probe) {
       map.put("sort", "probe");
       map.put("from", probe.from().value());
+    } else if (message instanceof PeerMessage.Carry carry) {
+      map.put("sort", "carry");
+      WorkerCodec.put(map, carry.report());
+    } else if (message instanceof PeerMessage.Carried carried) {
+      map.put("sort", "carried");
+      carried.token().ifPresent(token -> map.put("token", token.value()));
+      WorkerCodec.put(map, carried.orders());
     } else if (message instanceof PeerMessage.Forward forward) {
       map.put("sort", "forward");
       request(forward.request(), map);
@@ -63,6 +70,13 @@
       case "acknowledged" ->
           new PeerMessage.Acknowledged(new NodeId(fields.text("from")), fields.flag("settled"));
       case "probe" -> new PeerMessage.Probe(new NodeId(fields.text("from")));
+      case "carry" -> new PeerMessage.Carry(WorkerCodec.report(fields));
+      case "carried" ->
+          new PeerMessage.Carried(
+              fields.has("token")
+                  ? Optional.of(new Token(fields.count("token")))
+                  : Optional.empty(),
+              WorkerCodec.orders(fields));
       case "forward" -> new PeerMessage.Forward(request(fields));
       case "forwarded" -> new PeerMessage.Forwarded(response(fields));
       default -> throw new BadMessage("message of unknown sort " + sort);
--- a/src/main/java/org/oakwalk/wire/WorkerCodec.java
+++ b/src/main/java/org/oakwalk/wire/WorkerCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.oakwalk.core.Attempt;
@@ -13,6 +14,7 @@
 import org.oakwalk.core.Order;
 import org.oakwalk.core.Report;
 import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.Token;
 import org.oakwalk.core.port.Answer;
@@ -42,7 +44,10 @@
   private WorkerCodec() {}
 
   public static Report report(byte[] body) throws BadMessage {
-    Fields fields = new Fields(Pack.messagePackMap(body));
+    return report(new Fields(Pack.messagePackMap(body)));
+  }
+
+  static Report report(Fields fields) throws BadMessage {
     List<Report.Piece> pieces = new ArrayList<>();
     if (fields.has("pieces")) {
       for (JsonNode item : fields.list("pieces")) {
@@ -63,9 +68,7 @@
   }
 
   private static Report.Piece piece(Fields fields) throws BadMessage {
-    TaskId task =
-        TaskId.parse(fields.text("piece"))
-            .orElseThrow(() -> new BadMessage("field piece is malformed"));
+    TaskId task = task(fields);
     Report.PieceState state = STATES.get(fields.text("status"));
     if (state == null) {
       throw new BadMessage("field status has an unknown value");
@@ -109,7 +112,56 @@
     };
   }
 
-  private static void put(ObjectNode map, List<Order> orders) {
+  /** A report as its worker sent it, to be carried on. */
+  static void put(ObjectNode map, Report report) {
+    map.put("host", report.machine().value());
+    map.put("addr", report.address());
+    map.put("flavor", report.type());
+    map.put("region", report.zone());
+    map.put("leftovers", report.spot());
+    map.put("shift", report.session().value());
+    map.put("tick", report.sequence());
+    map.put("baton", report.token().value());
+    report.notice().ifPresent(left -> map.put("warning_s", left.asSeconds()));
+    ArrayNode pieces = map.putArray("pieces");
+    for (Report.Piece piece : report.pieces()) {
+      ObjectNode item = pieces.addObject();
+      item.put("piece", piece.task().toString());
+      item.put("try", piece.attempt().value());
+      item.put("status", piece.state().name().toLowerCase(Locale.ROOT));
+      if (piece.ended()) {
+        item.put("cause", piece.cause().name().toLowerCase(Locale.ROOT));
+      }
+    }
+  }
+
+  /** Orders that a leader gives by way of another controller. */
+  static List<Order> orders(Fields fields) throws BadMessage {
+    List<Order> orders = new ArrayList<>();
+    for (JsonNode node : fields.list("orders")) {
+      Fields item = Fields.of(node);
+      TaskId task = task(item);
+      Attempt attempt = new Attempt(item.count("try"));
+      String verb = item.text("verb");
+      orders.add(
+          switch (verb) {
+            case "run" -> new Order.Run(task, attempt);
+            case "halt" ->
+                new Order.Halt(
+                    task, attempt, item.optionalSeconds("wind_down_s").orElse(Span.millis(0)));
+            case "clear" -> new Order.Clear(task, attempt);
+            default -> throw new BadMessage("unknown order " + verb);
+          });
+    }
+    return orders;
+  }
+
+  private static TaskId task(Fields fields) throws BadMessage {
+    return TaskId.parse(fields.text("piece"))
+        .orElseThrow(() -> new BadMessage("field piece is malformed"));
+  }
+
+  static void put(ObjectNode map, List<Order> orders) {
     ArrayNode list = map.putArray("orders");
     for (Order order : orders) {
       ObjectNode item = list.addObject();
--- a/src/test/java/org/oakwalk/scenario/SimWorker.java
+++ b/src/test/java/org/oakwalk/scenario/SimWorker.java
@@ -160,8 +160,9 @@
     if (goneAt <= world.time.now() || diedAt <= world.time.now()) {
       return;
     }
+    // Also of a machine that hangs nothing counts as running once its lease is over.
+    expire();
     if (!hangs()) {
-      expire();
       long now = world.time.now();
       long every = world.settings.workers().report().millis();
       boolean due = now - lastReport >= every || (changed && now - lastReport >= LEAST_SPACING);
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -197,6 +197,27 @@
     }
   }
 
+  private static Report report() {
+    return new Report(
+        new MachineId("host-000231"),
+        "10.1.0.232:9000",
+        "g8",
+        "a",
+        true,
+        new SessionId(2),
+        88,
+        new Token(41),
+        Optional.of(Span.millis(1500)),
+        List.of(
+            new Report.Piece(
+                new TaskId(new JobId("j-1"), 3), new Attempt(2), Report.PieceState.RUNNING, null),
+            new Report.Piece(
+                new TaskId(new JobId("j-2"), 0),
+                new Attempt(1),
+                Report.PieceState.ENDED,
+                Report.Cause.NO_ROOM)));
+  }
+
   private static PeerMessage.Digest digest() {
     return new PeerMessage.Digest(
         new NodeId("n"),
@@ -211,6 +232,15 @@
         List.of(
             digest(),
             new PeerMessage.Acknowledged(new NodeId("n"), true),
+            new PeerMessage.Carry(report()),
+            new PeerMessage.Carried(Optional.empty(), List.of()),
+            new PeerMessage.Carried(
+                Optional.of(new Token(41)),
+                List.of(
+                    new Order.Run(new TaskId(new JobId("j-1"), 4), new Attempt(2)),
+                    new Order.Halt(
+                        new TaskId(new JobId("j-1"), 1), new Attempt(1), Span.seconds(10)),
+                    new Order.Clear(new TaskId(new JobId("j-1"), 0), new Attempt(1)))),
             new PeerMessage.Forward(new UserRequest.Query(new JobId("j-1"))),
             new PeerMessage.Forward(new UserRequest.Withdraw(new JobId("j-1"))),
             new PeerMessage.Forward(
