Jobs that fail everywhere go on by single probes and blame no machine

Ruled out: faulty machines; the errors were spread over the whole fleet and each job's tasks failed wherever they went. Change: a job of which nothing completed and which failed on three machines is a suspect: one probe at a time with growing pauses, no demand beyond it, no preemption, no blame for machines. Digests name the suspects to the followers.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.UserDesk;
 import org.oakwalk.core.leadership.Detour;
@@ -55,6 +56,7 @@
   private Moment digested = new Moment(Long.MIN_VALUE / 2);
   private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
   private Optional<Moment> handled = Optional.empty();
+  private Set<JobId> suspects = Set.of();
   private Moment awake = new Moment(Long.MIN_VALUE / 2);
   private Moment now = new Moment(0);
   private WallTime wall = new WallTime(0);
@@ -93,6 +95,7 @@
                             coastLimit,
                             seen -> leadership().higherTokenSeen(seen, now),
                             at));
+                reign.get().suspected(suspects);
               }
 
               @Override
@@ -226,7 +229,8 @@
     Map<JobId, PeerMessage.Counts> counts = current.counts();
     desk.counts(counts);
     PeerMessage message =
-        new PeerMessage.Digest(settings.node(), current.token(), view.fresh(now), counts);
+        new PeerMessage.Digest(
+            settings.node(), current.token(), view.fresh(now), counts, current.suspects());
     for (NodeId peer : settings.peers()) {
       outbox.call(
           new Request.Tell(peer, message),
@@ -332,6 +336,7 @@
       detour.heard(digest.from(), digest.token(), now);
       if (reign.isEmpty()) {
         desk.counts(digest.counts());
+        suspects = digest.suspects();
         if (digest.serves()) {
           digestFrom = Optional.of(digest.from());
           digested = now;
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.oakwalk.core.capacity.Capacity;
 import org.oakwalk.core.fleet.Courier;
 import org.oakwalk.core.fleet.Fleet;
@@ -229,6 +231,19 @@
     return counts;
   }
 
+  /** Jobs that an earlier leader found to fail everywhere. */
+  void suspected(Set<JobId> ids) {
+    ids.forEach(id -> jobs.find(id).ifPresent(Job::suspected));
+  }
+
+  /** Open jobs that fail everywhere. */
+  Set<JobId> suspects() {
+    return jobs.all().stream()
+        .filter(job -> job.open() && job.suspect())
+        .map(Job::id)
+        .collect(Collectors.toSet());
+  }
+
   /** One line on the state of things, for the log. */
   String summary() {
     int pending = 0;
--- a/src/main/java/org/oakwalk/core/capacity/Demand.java
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -33,6 +33,9 @@
     if (spec.service() || spec.gang()) {
       return open;
     }
+    if (job.suspect()) {
+      return Math.max(1, job.activeCount());
+    }
     double run = Math.max(1, runTimes.expected(spec).asSeconds());
     double left = target(spec).minus(now.since(job.accepted())).asSeconds() * 0.8;
     left -= type.fetch(spec.imageGb()).asSeconds();
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -337,6 +337,7 @@
       }
       case ERROR -> {
         LOG.info("task {} failed on {}", placement.task(), machine.id());
+        job.failedOn(machine.id(), now);
         machine.failed(job);
         job.pause(index, true, now);
       }
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -56,6 +56,11 @@
   /** Late tasks, less those in time, after which the machine itself must be slow. */
   private static final int SLOW_AFTER = 3;
 
+  /** Errors of one job, or jobs with errors, after which the machine itself is suspected. */
+  private static final int MANY_ERRORS = 3;
+
+  private static final int SEVERAL_JOBS = 3;
+
   /** One attempt at one task, as orders name it. */
   public record Try(TaskId task, Attempt attempt) {}
 
@@ -79,10 +84,9 @@
   private boolean carried;
   private boolean draining;
   private boolean retiring;
-  private boolean faulty;
   private int lateness;
   private boolean slow;
-  private final Map<JobId, Integer> errors = new HashMap<>();
+  private final Map<Job, Integer> errors = new HashMap<>();
   private Room used = Room.NONE;
   private int replicas;
   private Moment emptyBy = new Moment(Long.MIN_VALUE / 2);
@@ -175,16 +179,23 @@
   }
 
   /** Errors of this job's tasks here since one last succeeded. */
-  public int errorsOf(JobId job) {
+  public int errorsOf(Job job) {
     return errors.getOrDefault(job, 0);
   }
 
   /**
    * Whether the machine rather than a job is to blame for the errors here: tasks of several jobs
-   * failed one after the other, or tasks of a job that completes elsewhere.
+   * failed one after the other, or tasks of a job that completes elsewhere. Jobs that fail
+   * everywhere don't count.
    */
   public boolean faulty() {
-    return faulty;
+    int jobs = 0;
+    boolean elsewhere = false;
+    for (Map.Entry<Job, Integer> entry : errors.entrySet()) {
+      jobs += entry.getKey().suspect() ? 0 : 1;
+      elsewhere |= entry.getValue() >= MANY_ERRORS && entry.getKey().doneCount() > 0;
+    }
+    return jobs >= SEVERAL_JOBS || elsewhere;
   }
 
   public Rental.Status listed() {
@@ -301,8 +312,7 @@
   }
 
   void failed(Job job) {
-    int count = errors.merge(job.id(), 1, Integer::sum);
-    faulty |= errors.size() >= 3 || (count >= 3 && job.doneCount() > 0);
+    errors.merge(job, 1, Integer::sum);
   }
 
   /** A task here runs far longer than others of its job. */
--- a/src/main/java/org/oakwalk/core/job/Job.java
+++ b/src/main/java/org/oakwalk/core/job/Job.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.Span;
@@ -35,6 +36,7 @@
   private final BitSet taken = new BitSet();
   private final Map<Integer, Moment> notBefore = new HashMap<>();
   private final Map<Integer, Integer> failures = new HashMap<>();
+  private final Suspicion suspicion = new Suspicion();
   private State state = State.OPEN;
   private Revision stamp;
   private int active;
@@ -123,6 +125,9 @@
 
   /** The first task from {@code from} on that may be placed now, or -1. */
   public int nextPending(int from, Moment now) {
+    if (suspect() && (active > 0 || !suspicion.probes(now))) {
+      return -1;
+    }
     int index = taken.nextClearBit(from);
     while (index < spec.tasks()) {
       Moment pause = notBefore.get(index);
@@ -162,9 +167,19 @@
     notBefore.put(index, now.plus(pause.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause));
   }
 
-  /** How many errors its tasks have had in all. */
-  public int errors() {
-    return errors;
+  /** A task has failed on this machine. */
+  public void failedOn(MachineId machine, Moment now) {
+    suspicion.failed(machine, now);
+  }
+
+  /** An earlier leader found that the job is at fault. */
+  public void suspected() {
+    suspicion.told();
+  }
+
+  /** Whether the job itself, rather than any machine, must be to blame for its errors. */
+  public boolean suspect() {
+    return done.isEmpty() && running == 0 && suspicion.holds();
   }
 
   /** A task has completed, on whichever attempt. */
--- a/src/main/java/org/oakwalk/core/placement/IdealHost.java
+++ b/src/main/java/org/oakwalk/core/placement/IdealHost.java
@@ -5,6 +5,7 @@
 import org.oakwalk.core.Policy;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Room;
 
@@ -37,7 +38,8 @@
    *
    * @param run how long the task should run
    */
-  public Machine choose(JobSpec spec, Collection<Machine> candidates, Span run, Moment now) {
+  public Machine choose(Job job, Collection<Machine> candidates, Span run, Moment now) {
+    JobSpec spec = job.spec();
     double leastCpu = Double.MAX_VALUE;
     double leastMemory = Double.MAX_VALUE;
     double leastGpu = Double.MAX_VALUE;
@@ -58,7 +60,7 @@
               + square(gpuUse(machine) - leastGpu)
               + square(imageWeight(spec) * fetchShare(spec, machine))
               + (spec.service() ? company(spec, machine) : square(held(machine, run, now)))
-              + machine.errorsOf(spec.id());
+              + machine.errorsOf(job);
       if (distance < bestDistance) {
         bestDistance = distance;
         best = machine;
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -278,7 +278,7 @@
 
   private Machine pick(Job job, int index, List<Machine> candidates, Moment now) {
     Span run = runTimes.expected(job.spec());
-    Machine machine = hosts.choose(job.spec(), candidates, run, now);
+    Machine machine = hosts.choose(job, candidates, run, now);
     TaskId task = new TaskId(job.id(), index);
     if (machine == null || !machine.remembers(task)) {
       return machine;
@@ -286,7 +286,7 @@
     // A run would be refused while a machine still reports an older attempt.
     List<Machine> others = new ArrayList<>(candidates);
     others.removeIf(other -> other.remembers(task));
-    return hosts.choose(job.spec(), others, run, now);
+    return hosts.choose(job, others, run, now);
   }
 
   /** Machines that the job allows, given where its other tasks are. */
@@ -358,7 +358,7 @@
   /** Stops less urgent tasks for those of a job that found no room. */
   private int makeRoom(Job job, List<Machine> machines, int most, Moment now) {
     boolean claims = quota.guarantees(job);
-    if (job.spec().priority().compareTo(Priority.NORMAL) <= 0 && !claims) {
+    if (job.suspect() || (job.spec().priority().compareTo(Priority.NORMAL) <= 0 && !claims)) {
       return 0;
     }
     int stopped = 0;
--- a/src/main/java/org/oakwalk/core/port/PeerMessage.java
+++ b/src/main/java/org/oakwalk/core/port/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Order;
@@ -16,10 +17,12 @@
   record Counts(int done, int running) {}
 
   /**
-   * The leader's view of the open jobs, for display. {@code serves} says that the sender reaches
-   * the state service, so that others may hand it requests.
+   * The leader's view of the open jobs. {@code serves} says that the sender reaches the state
+   * service, so that others may hand it requests. The counts are for display; the suspects are jobs
+   * that fail everywhere, which a successor should know of.
    */
-  record Digest(NodeId from, Token token, boolean serves, Map<JobId, Counts> counts)
+  record Digest(
+      NodeId from, Token token, boolean serves, Map<JobId, Counts> counts, Set<JobId> suspects)
       implements PeerMessage {}
 
   /**
--- a/src/main/java/org/oakwalk/wire/PeerCodec.java
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -1,10 +1,13 @@
 package org.oakwalk.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Span;
@@ -32,6 +35,8 @@
           .counts()
           .forEach(
               (id, count) -> counts.putArray(id.value()).add(count.done()).add(count.running()));
+      ArrayNode suspects = map.putArray("suspects");
+      digest.suspects().forEach(id -> suspects.add(id.value()));
     } else if (message instanceof PeerMessage.Acknowledged acknowledged) {
       map.put("sort", "acknowledged");
       map.put("from", acknowledged.from().value());
@@ -66,7 +71,8 @@
               new NodeId(fields.text("from")),
               new Token(fields.count("token")),
               fields.flag("serves"),
-              counts(fields.get("counts")));
+              counts(fields.get("counts")),
+              suspects(fields));
       case "acknowledged" ->
           new PeerMessage.Acknowledged(new NodeId(fields.text("from")), fields.flag("settled"));
       case "probe" -> new PeerMessage.Probe(new NodeId(fields.text("from")));
@@ -103,6 +109,18 @@
     return counts;
   }
 
+  private static Set<JobId> suspects(Fields fields) throws BadMessage {
+    Set<JobId> suspects = new HashSet<>();
+    if (fields.has("suspects")) {
+      for (JsonNode id : fields.list("suspects")) {
+        if (JobId.wellFormed(id.asText())) {
+          suspects.add(new JobId(id.asText()));
+        }
+      }
+    }
+    return suspects;
+  }
+
   private static void request(UserRequest request, ObjectNode map) {
     map.put("job", request.job().value());
     if (request instanceof UserRequest.Submit submit) {
--- a/src/test/java/org/oakwalk/adapter/OutsideTest.java
+++ b/src/test/java/org/oakwalk/adapter/OutsideTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
@@ -153,7 +154,8 @@
         new CBORMapper()
             .writeValueAsBytes(
                 JSON.readTree("{\"sort\":\"acknowledged\",\"from\":\"peer\",\"settled\":true}")));
-    PeerMessage digest = new PeerMessage.Digest(new NodeId("n"), new Token(1), true, Map.of());
+    PeerMessage digest =
+        new PeerMessage.Digest(new NodeId("n"), new Token(1), true, Map.of(), Set.of());
     assertThat(ask(new Request.Tell(PEER, digest)))
         .isEqualTo(new Answer.Told(new PeerMessage.Acknowledged(PEER, true)));
   }
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -223,7 +224,8 @@
         new NodeId("n"),
         new Token(3),
         true,
-        Map.of(new JobId("j-1"), new PeerMessage.Counts(2, 5)));
+        Map.of(new JobId("j-1"), new PeerMessage.Counts(2, 5)),
+        Set.of(new JobId("j-2")));
   }
 
   @Test
