Boot times are learned; late boots are waited for, failing zones left out for a while

Cause (scenarios): boots that all took six times as long as the type says were given up at four times, again and again, so nothing ever came up and 32 machines were rented for 12 tasks; and of two zones one of which never brings a machine up, each took half of every rental. Change: Boots learns by type, zone and kind how long boots take and spread; what is late is replaced at twice that, given up at four times, with more patience where none came up; a zone is left out for 90 s after a failure. Before and after: the scenarios boots-come-late (32 rented, none up; 24 at most, all work done) and boots-fail-in-one-zone (22 rented; 15 at most).

--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -55,6 +55,7 @@
   private final Settings.CloudLimits limits;
   private final Span suspectAfter;
   private final Demand demand;
+  private final Boots boots;
   private final Renter renter;
   private final Map<MachineId, Moment> firstListed = new HashMap<>();
   private final Set<MachineId> returned = new HashSet<>();
@@ -87,7 +88,8 @@
     this.policy = policy;
     this.limits = settings.cloud();
     this.suspectAfter = suspectAfter;
-    this.renter = new Renter(outbox, fleet);
+    this.boots = new Boots(policy.bootPatience());
+    this.renter = new Renter(outbox, fleet, boots);
     this.demand = new Demand(settings.objectives(), runTimes);
   }
 
@@ -181,16 +183,16 @@
     int lapsed = 0;
     int quiet = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
+      machine
+          .takeBoot()
+          .ifPresent(took -> boots.came(Boots.Sort.of(machine), machine.type(), took));
       switch (machine.state()) {
         case BOOTING -> {
-          Span patience = machine.type().boot().times(4);
           if (listens(now)
               && now.past(
-                  machine.known(),
-                  patience.compareTo(policy.bootPatience()) < 0
-                      ? patience
-                      : policy.bootPatience())) {
+                  machine.known(), boots.givenUpAfter(Boots.Sort.of(machine), machine.type()))) {
             LOG.info("machine {} never came up", machine.id());
+            boots.failed(Boots.Sort.of(machine), machine.type(), now);
             returnMachine(machine);
           }
         }
@@ -483,7 +485,8 @@
 
   private boolean counts(Machine machine, Moment now) {
     return switch (machine.state()) {
-      case BOOTING -> !now.past(machine.known(), machine.type().boot().times(2));
+      case BOOTING ->
+          !now.past(machine.known(), boots.replacedAfter(Boots.Sort.of(machine), machine.type()));
       case ENROLLING, UNCONFIRMED -> true;
       // Many silent at once are out of reach for a while; to rent as many again would be waste.
       case UP ->
--- a/src/main/java/org/oakwalk/core/capacity/Renter.java
+++ b/src/main/java/org/oakwalk/core/capacity/Renter.java
@@ -26,22 +26,24 @@
   private static final Span REFUSED_PAUSE = Span.seconds(8);
   private static final int MOST_PER_ASK = 20;
 
-  /** Where and how machines of one sort are rented. */
-  private record Market(String type, String zone, boolean spot) {}
-
   private final Outbox outbox;
   private final Fleet fleet;
-  private final Map<Market, Moment> refusedUntil = new HashMap<>();
-  private final Set<Market> asking = new HashSet<>();
+  private final Boots boots;
+  private final Map<Boots.Sort, Moment> refusedUntil = new HashMap<>();
+  private final Set<Boots.Sort> asking = new HashSet<>();
   private Moment clock = new Moment(0);
   private long asks;
 
-  Renter(Outbox outbox, Fleet fleet) {
+  Renter(Outbox outbox, Fleet fleet, Boots boots) {
     this.outbox = outbox;
     this.fleet = fleet;
+    this.boots = boots;
   }
 
-  /** Asks for machines in the zones that have fewest; returns for how many it asked. */
+  /**
+   * Asks for machines in the zones that have fewest, those last where machines have failed to come
+   * up; returns for how many it asked.
+   */
   int rent(MachineType type, boolean spot, int count, Moment now) {
     clock = now;
     Map<String, Integer> held = new HashMap<>();
@@ -51,18 +53,25 @@
       }
     }
     List<String> zones = new ArrayList<>(type.zones());
-    zones.removeIf(zone -> !free(new Market(type.name(), zone, spot), now));
+    zones.removeIf(zone -> !free(new Boots.Sort(type.name(), zone, spot), now));
     zones.sort(
-        Comparator.comparingInt((String zone) -> held.getOrDefault(zone, 0))
+        Comparator.comparing(
+                (String zone) -> boots.blamed(new Boots.Sort(type.name(), zone, spot), now))
+            .thenComparingInt(zone -> held.getOrDefault(zone, 0))
             .thenComparing(Comparator.naturalOrder()));
+    zones.subList(soundZones(zones, type, spot, now), zones.size()).clear();
     int asked = 0;
     for (int i = 0; i < zones.size() && asked < count; i++) {
       int share = (int) Math.ceil((count - asked) / (double) (zones.size() - i));
       int number = Math.min(share, MOST_PER_ASK);
       asked += number;
-      ask(new Market(type.name(), zones.get(i), spot), AskId.of(fleet.token(), ++asks), number, 5);
+      ask(
+          new Boots.Sort(type.name(), zones.get(i), spot),
+          AskId.of(fleet.token(), ++asks),
+          number,
+          5);
     }
-    for (Market market : asking) {
+    for (Boots.Sort market : asking) {
       if (market.type().equals(type.name()) && market.spot() == spot && asked == 0) {
         // An answer is still out; it may bring what is missing.
         return count;
@@ -71,13 +80,22 @@
     return asked;
   }
 
-  private boolean free(Market market, Moment now) {
+  /** How many zones come first in which boots have not failed; all if there is none. */
+  private int soundZones(List<String> zones, MachineType type, boolean spot, Moment now) {
+    int sound = 0;
+    for (String zone : zones) {
+      sound += boots.blamed(new Boots.Sort(type.name(), zone, spot), now) ? 0 : 1;
+    }
+    return sound == 0 ? zones.size() : sound;
+  }
+
+  private boolean free(Boots.Sort market, Moment now) {
     Moment until = refusedUntil.get(market);
     return !asking.contains(market) && (until == null || !until.isAfter(now));
   }
 
   /** Rents under a name of its own, which is repeated until the cloud has answered. */
-  private void ask(Market market, AskId name, int count, int tries) {
+  private void ask(Boots.Sort market, AskId name, int count, int tries) {
     asking.add(market);
     outbox.call(
         new Request.Rent(name, market.type(), market.zone(), market.spot(), count),
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -200,7 +200,8 @@
       return Optional.empty();
     }
     Machine machine = machines.get(report.machine());
-    if (machine == null) {
+    boolean expected = machine != null;
+    if (!expected) {
       machine =
           add(
                   report.machine(),
@@ -248,7 +249,12 @@
       machine.settled();
     }
     switch (machine.state()) {
-      case BOOTING -> machine.enter(Machine.State.ENROLLING);
+      case BOOTING -> {
+        if (expected) {
+          machine.booted(now);
+        }
+        machine.enter(Machine.State.ENROLLING);
+      }
       case LAPSED -> up(machine);
       case UNCONFIRMED -> {
         if (!machine.inDoubt()) {
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -80,6 +80,7 @@
   private Moment idleSince;
   private Moment blockedUntil;
   private Rental.Status listed;
+  private Optional<Span> boot = Optional.empty();
   private boolean inDoubt;
   private boolean carried;
   private boolean draining;
@@ -278,6 +279,18 @@
     retiring = on;
   }
 
+  /** It reports for the first time since it was rented. */
+  void booted(Moment now) {
+    boot = Optional.of(now.since(known));
+  }
+
+  /** How long it took to come up; told once. */
+  public Optional<Span> takeBoot() {
+    Optional<Span> took = boot;
+    boot = Optional.empty();
+    return took;
+  }
+
   /** Whether its last report came by way of another controller. */
   public boolean carried() {
     return carried;
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -173,7 +173,10 @@
       case "notice" -> worker(line.word(3)).notice(line.number("in", 10));
       case "faulty" -> worker(line.word(3)).faulty();
       case "slow" -> worker(line.word(3)).slow(line.number("factor", 3));
-      case "failboots" -> world.cloud.failBoots((int) line.number(3));
+      case "failboots" -> world.cloud.failBoots((int) line.number(3), line.text("zone", ""));
+      case "slowboots" -> world.cloud.slowBoots(line.number(3));
+      case "forget" -> world.state.forget(line.word(3));
+      case "damage" -> world.state.damage(line.word(3));
       case "limit" ->
           world.cloud.capacity.put(
               new SimCloud.Market(line.word(3), line.word(4), line.has("spot")),
--- a/src/test/java/org/oakwalk/scenario/SimCloud.java
+++ b/src/test/java/org/oakwalk/scenario/SimCloud.java
@@ -30,6 +30,8 @@
   private long downUntil;
   private int numbers;
   private int bootTrouble;
+  private String bootTroubleZone = "";
+  private double bootFactor = 1;
   int rented;
 
   SimCloud(World world, double lagSeconds) {
@@ -41,9 +43,15 @@
     downUntil = world.time.now() + Math.round(seconds * 1000);
   }
 
-  /** The next so many machines never come up. */
-  void failBoots(int count) {
+  /** The next so many machines never come up, in this zone or in any. */
+  void failBoots(int count, String zone) {
     bootTrouble = count;
+    bootTroubleZone = zone;
+  }
+
+  /** Boots of machines that are rented from now on take so many times as long. */
+  void slowBoots(double factor) {
+    bootFactor = factor;
   }
 
   SimWorker create(Market market, double bootSeconds) {
@@ -51,10 +59,11 @@
     SimWorker worker = new SimWorker(world, id, types.get(market.type()), market);
     machines.put(id, worker);
     world.workers.put(id, worker);
-    if (bootTrouble > 0 && bootSeconds > 0) {
+    boolean here = bootTroubleZone.isEmpty() || bootTroubleZone.equals(market.zone());
+    if (bootTrouble > 0 && bootSeconds > 0 && here) {
       bootTrouble--;
     } else {
-      world.time.after(Math.round(bootSeconds * 1000), worker::boot);
+      world.time.after(Math.round(bootSeconds * bootFactor * 1000), worker::boot);
     }
     return worker;
   }
--- a/src/test/java/org/oakwalk/scenario/SimState.java
+++ b/src/test/java/org/oakwalk/scenario/SimState.java
@@ -202,6 +202,26 @@
     return new Answer.Committed(new Revision(epoch));
   }
 
+  /** A key is lost. */
+  void forget(String key) {
+    epoch++;
+    remove(key);
+    wake();
+  }
+
+  /** Values below this prefix become such as no version can read. */
+  void damage(String prefix) {
+    epoch++;
+    for (Map.Entry<String, Kept> entry : keys.tailMap(prefix).entrySet()) {
+      if (entry.getKey().startsWith(prefix)) {
+        StoredValue.Unreadable value = new StoredValue.Unreadable("damaged");
+        entry.setValue(new Kept(value, epoch, entry.getValue().hold()));
+        history.add(new News(entry.getKey(), Optional.of(value), new Revision(epoch)));
+      }
+    }
+    wake();
+  }
+
   private void wake() {
     for (Watcher watcher : List.copyOf(watchers)) {
       List<News> news = since(watcher.request());
