Machine types are kept in the store; what is withdrawn ends before the fleet is known

Change: the leader keeps the types in the store, where every node's watch finds them; a leader that does not read reports yet orders the end of withdrawn tasks, as a relay does. A stored value that can't be read no longer holds up the others. In the draws a user no longer cancels what has not been accepted.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -199,7 +199,7 @@
     view.tick(now);
     leadership.tick(now);
     relay.tick(leadership.reigning(), now);
-    catalogue.tick(leadership.reigning(), now);
+    catalogue.tick(leadership.reigning(), view.types(), now);
     desk.types(catalogue.types());
     if (reign.isPresent() && leadership.mayStepAside(now) && reign.get().blind(now)) {
       leadership.stepAside(now);
@@ -251,6 +251,10 @@
       leadership.higherTokenSeen(report.token(), now);
     }
     if (reign.isPresent() && leadership.mayAnswer(now)) {
+      if (!reign.get().readsReports()) {
+        // The lease is renewed all the same, so what was withdrawn must end by this answer.
+        return new Response.Orders(reign.get().token(), haltsOf(report));
+      }
       Optional<List<Order>> orders = reign.get().report(report, carried, now);
       return orders.isPresent()
           ? new Response.Orders(reign.get().token(), orders.get())
@@ -275,7 +279,7 @@
             .filter(node -> !node.equals(settings.node())));
   }
 
-  /** All that a follower may order while it relays: what is withdrawn must end everywhere. */
+  /** What may be ordered by whoever does not know the fleet: what is withdrawn must end. */
   private List<Order> haltsOf(Report report) {
     List<Order> halts = new ArrayList<>();
     for (Report.Piece piece : report.pieces()) {
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.oakwalk.core.capacity.Capacity;
+import org.oakwalk.core.capacity.CatalogueKeeper;
 import org.oakwalk.core.fleet.Courier;
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.Machine;
@@ -54,6 +55,7 @@
   private final Pace pace = new Pace(runTimes);
   private final Placer placer;
   private final Capacity capacity;
+  private final CatalogueKeeper keeper;
   private boolean roundDue = true;
   private Moment nextRegular;
   private Moment lastRound = new Moment(Long.MIN_VALUE / 2);
@@ -107,6 +109,7 @@
             new Quota(settings.teams(), fleet),
             runTimes,
             suspectAfter);
+    this.keeper = new CatalogueKeeper(outbox, view, guard, settings.state());
     this.capacity =
         new Capacity(
             outbox, fleet, jobs, registry, policy.capacity(), settings, runTimes, suspectAfter);
@@ -133,12 +136,14 @@
     }
   }
 
+  /** Whether what older leaders left has been read, so that reports can be made use of. */
+  boolean readsReports() {
+    return recovery.readsReports();
+  }
+
   /** Orders for a worker that reports, or nothing if the report can't be used yet. */
   Optional<List<Order>> report(Report report, boolean carried, Moment now) {
     clock = now;
-    if (!recovery.readsReports()) {
-      return Optional.of(List.of());
-    }
     Optional<Machine> machine = fleet.report(report, true, now);
     if (machine.isEmpty()) {
       return Optional.empty();
@@ -194,6 +199,7 @@
       relays.tick(now);
       registry.tick(now);
       results.tick(now);
+      keeper.tick(types, now);
       capacity.tick(types, recovery.complete(), now, wall);
       round(now, wall);
     }
--- a/src/main/java/org/oakwalk/core/capacity/Catalogue.java
+++ b/src/main/java/org/oakwalk/core/capacity/Catalogue.java
@@ -28,9 +28,17 @@
     return types;
   }
 
-  public void tick(boolean leading, Moment now) {
+  /**
+   * Reads the types now and then.
+   *
+   * @param stored what an earlier leader stored, for as long as the cloud has not answered
+   */
+  public void tick(boolean leading, Map<String, MachineType> stored, Moment now) {
+    if (types.isEmpty()) {
+      types = stored;
+    }
     Span age = leading ? LEADER_REFRESH : REFRESH;
-    if (asking || nextTry.isAfter(now) || (!types.isEmpty() && !now.past(read, age))) {
+    if (asking || nextTry.isAfter(now) || !now.past(read, age)) {
       return;
     }
     asking = true;
--- a/src/main/java/org/oakwalk/core/fleet/MachineType.java
+++ b/src/main/java/org/oakwalk/core/fleet/MachineType.java
@@ -19,6 +19,13 @@
     return spot ? spotPrice : price;
   }
 
+  /** Whether the other differs in nothing but its prices. */
+  public boolean sameBut(MachineType other) {
+    return new MachineType(
+            name, room, cacheGb, fetchGbPerSecond, other.price, other.spotPrice, boot, zones)
+        .equals(other);
+  }
+
   /** How long an image of this size takes to arrive on an idle machine. */
   public Span fetch(double imageGb) {
     return fetchGbPerSecond <= 0 ? Span.seconds(0) : Span.seconds(imageGb / fetchGbPerSecond);
--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserDesk.java
@@ -92,6 +92,8 @@
         known -> {
           if (!known) {
             answer.accept(Response.unavailable("state service out of reach", SOON));
+          } else if (view.unreadable(id)) {
+            answer.accept(Response.unavailable("record of the job can't be read", SOON));
           } else if (view.job(id).isEmpty()) {
             answer.accept(Response.refusal(absent, "no such job"));
           } else {
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -178,6 +178,12 @@
           record.spot(),
           Machine.State.UNCONFIRMED,
           now);
+    } else {
+      // What can't be read may hold tasks all the same, until it has confirmed or is returned.
+      LOG.error("{} can't be read", entry.key());
+      MachineId id = new MachineId(entry.key().substring(Keys.MACHINES.length()));
+      registry.found(id);
+      fleet.add(id, "", "", "", false, Machine.State.UNCONFIRMED, now);
     }
   }
 
--- a/src/main/java/org/oakwalk/core/store/Keys.java
+++ b/src/main/java/org/oakwalk/core/store/Keys.java
@@ -5,9 +5,14 @@
 
 /** Names of the keys in the state service. */
 public final class Keys {
-  /** One watch covers everything below: the leader key and the jobs. */
+  /**
+   * One watch covers everything below: the leader key, the jobs, and what else all nodes follow.
+   */
   public static final String WATCHED = "oak/a/";
 
+  /** The cloud's machine types, for nodes that can't ask the cloud. */
+  public static final String TYPES = WATCHED + "types";
+
   public static final String LEADER = WATCHED + "leader";
   public static final String RELAYS = WATCHED + "relay/";
   public static final String JOBS = WATCHED + "job/";
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -14,9 +14,12 @@
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.Token;
+import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.Request;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * This node's copy of the leader key and of all jobs, kept current by one watch.
@@ -26,6 +29,8 @@
  * copy holds everything that was stored before they asked.
  */
 public final class StoreView {
+  private static final Logger LOG = LoggerFactory.getLogger(StoreView.class);
+
   /** How much of the store is known. */
   public enum State {
     LOADING,
@@ -69,6 +74,8 @@
   private final Map<JobId, KnownJob> jobs = new HashMap<>();
   private final Map<String, Relayed> relays = new HashMap<>();
   private final Set<String> relaysOnPages = new HashSet<>();
+  private final Set<String> unreadable = new HashSet<>();
+  private Map<String, MachineType> types = Map.of();
   private final List<Consumer<Boolean>> waiting = new ArrayList<>();
   private Listener listener;
   private State state = State.LOADING;
@@ -130,6 +137,16 @@
     return relays.values();
   }
 
+  /** The machine types as a leader last stored them; empty if none did. */
+  public Map<String, MachineType> types() {
+    return types;
+  }
+
+  /** Whether there is a record of the job that can't be read. */
+  public boolean unreadable(JobId id) {
+    return unreadable.contains(Keys.job(id));
+  }
+
   /** The time by which changes are applied. */
   public void clock(Moment now) {
     clock = now;
@@ -301,6 +318,12 @@
               .filter(StoredValue.LeaderRecord.class::isInstance)
               .map(v -> new Leader((StoredValue.LeaderRecord) v, new Token(stamp.value())));
       listener.leaderChanged(clock);
+    } else if (value.isPresent() && value.get() instanceof StoredValue.Unreadable damaged) {
+      if (unreadable.add(key)) {
+        LOG.error("{} can't be read: {}", key, damaged.reason());
+      }
+    } else if (value.isPresent() && value.get() instanceof StoredValue.TypesRecord record) {
+      types = record.types();
     } else if (key.startsWith(Keys.RELAYS)) {
       relays.remove(key);
       if (value.isPresent() && value.get() instanceof StoredValue.RelayRecord relay) {
--- a/src/main/java/org/oakwalk/wire/StateCodec.java
+++ b/src/main/java/org/oakwalk/wire/StateCodec.java
@@ -6,7 +6,9 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.oakwalk.core.HoldId;
 import org.oakwalk.core.MachineId;
@@ -14,6 +16,8 @@
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.Token;
 import org.oakwalk.core.WallTime;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.job.Room;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.store.Change;
@@ -104,8 +108,7 @@
       for (JsonNode item : fields.list("entries")) {
         Fields entry = Fields.of(item);
         entries.add(
-            new Entry(
-                entry.text("k"), value(entry.map("value")), new Revision(entry.count("stamp"))));
+            new Entry(entry.text("k"), readable(entry), new Revision(entry.count("stamp"))));
       }
       return new Answer.Page(entries, fields.flag("more"), new Revision(fields.count("epoch")));
     }
@@ -125,7 +128,7 @@
         Fields item = Fields.of(node);
         Revision stamp = new Revision(item.count("stamp"));
         if (item.has("set")) {
-          news.add(new News(item.text("set"), Optional.of(value(item.map("value"))), stamp));
+          news.add(new News(item.text("set"), Optional.of(readable(item)), stamp));
         } else {
           news.add(new News(item.text("delete"), Optional.empty(), stamp));
         }
@@ -150,6 +153,9 @@
       map.put("sort", "relay");
       map.put("zone", relay.zone());
       map.put("token", relay.token().value());
+    } else if (value instanceof StoredValue.TypesRecord record) {
+      map.put("sort", "types");
+      types(record, map);
     } else if (value instanceof StoredValue.DoneChunk chunk) {
       map.put("sort", "done");
       map.put("bits", chunk.bits());
@@ -164,6 +170,52 @@
     return map;
   }
 
+  /** One value that is damaged, or of a later version, must not hold up all the others. */
+  private static StoredValue readable(Fields item) {
+    try {
+      return value(item.map("value"));
+    } catch (BadMessage | IllegalArgumentException e) {
+      return new StoredValue.Unreadable(String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static void types(StoredValue.TypesRecord record, ObjectNode map) {
+    ArrayNode list = map.putArray("types");
+    for (MachineType type : record.types().values()) {
+      ObjectNode item = list.addObject();
+      item.put("name", type.name());
+      item.put("cpus", type.room().cpus());
+      item.put("gpus", type.room().gpus());
+      item.put("memory_gb", type.room().memoryGb());
+      item.put("cache_gb", type.cacheGb());
+      item.put("fetch_gb_per_s", type.fetchGbPerSecond());
+      item.put("price", type.price());
+      item.put("spot_price", type.spotPrice());
+      item.put("boot_s", type.boot().asSeconds());
+      ArrayNode zones = item.putArray("zones");
+      type.zones().forEach(zones::add);
+    }
+  }
+
+  private static StoredValue types(Fields map) throws BadMessage {
+    Map<String, MachineType> types = new LinkedHashMap<>();
+    for (JsonNode node : map.list("types")) {
+      Fields type = Fields.of(node);
+      types.put(
+          type.text("name"),
+          new MachineType(
+              type.text("name"),
+              new Room(type.amount("cpus"), type.amount("gpus"), type.amount("memory_gb")),
+              type.amount("cache_gb"),
+              type.amount("fetch_gb_per_s"),
+              type.amount("price"),
+              type.amount("spot_price"),
+              type.seconds("boot_s"),
+              type.texts("zones")));
+    }
+    return new StoredValue.TypesRecord(types);
+  }
+
   static StoredValue value(Fields map) throws BadMessage {
     String sort = map.text("sort");
     return switch (sort) {
@@ -176,6 +228,7 @@
           new StoredValue.LeaderRecord(
               new NodeId(map.text("node")), map.text("zone"), map.text("incarnation"));
       case "relay" -> new StoredValue.RelayRecord(map.text("zone"), new Token(map.count("token")));
+      case "types" -> types(map);
       case "done" -> new StoredValue.DoneChunk(map.text("bits"));
       case "machine" ->
           new StoredValue.MachineRecord(
--- a/src/test/java/org/oakwalk/scenario/SimUser.java
+++ b/src/test/java/org/oakwalk/scenario/SimUser.java
@@ -49,6 +49,11 @@
   }
 
   void cancel() {
+    if (acceptedAfter == null && world.time.seconds() - began < GIVES_UP) {
+      // Nobody cancels what has not been accepted yet.
+      world.time.after(1000, this::cancel);
+      return;
+    }
     world.rules.asksToCancel(job);
     repeat(
         new UserRequest.Withdraw(job),
--- a/src/test/java/org/oakwalk/scenario/TroublesTest.java
+++ b/src/test/java/org/oakwalk/scenario/TroublesTest.java
@@ -109,7 +109,7 @@
       String host =
           String.format(Locale.ROOT, "host-%06d", random.nextInt(machines * (zones ? 2 : 1)));
       String hold = random.nextBoolean() ? "hold" : "";
-      switch (random.nextInt(16)) {
+      switch (random.nextInt(19)) {
         case 0 -> add("at %d crash %s", at, node);
         case 1 -> add("at %d restart %s", at, random.nextInt(3) == 0 ? "all" : node);
         case 2, 3, 4 -> add("at %d freeze %s for=%d", at, node, shortly);
@@ -132,6 +132,17 @@
                 hold);
         case 13 -> add("at %d hang %s for=%d", at, host, shortly);
         case 14 -> add("at %d %s %s", at, random.nextBoolean() ? "die" : "faulty", host);
+        case 15 -> add("at %d slowboots %d", at, 2 + random.nextInt(3));
+        case 16 -> {
+          for (int i = 0; i < nodes; i++) {
+            add("at %d freeze node-%d for=%d", at + random.nextInt(3), i, shortly);
+          }
+        }
+        case 17 -> {
+          // Cut off from all but the state service, so that it could go on leading blindly.
+          add("at %d cut %s workers for=%d %s", at, node, lasts, hold);
+          add("at %d cut %s nodes for=%d %s", at, node, lasts, hold);
+        }
         default -> add("at %d failboots %d", at, 1 + random.nextInt(3));
       }
     }
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -33,7 +34,9 @@
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.Token;
 import org.oakwalk.core.WallTime;
+import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Room;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.port.Request;
@@ -255,6 +258,39 @@
     }
   }
 
+  @Test
+  void oneDamagedRecordLeavesTheOthersReadable() throws Exception {
+    StoredValue.TypesRecord types =
+        new StoredValue.TypesRecord(
+            Map.of(
+                "g8",
+                new MachineType(
+                    "g8",
+                    new Room(96, 8, 768),
+                    200,
+                    1,
+                    12,
+                    4.5,
+                    Span.seconds(45),
+                    List.of("a", "b"))));
+    ObjectNode page = Pack.map();
+    ArrayNode entries = page.putArray("entries");
+    entries.addObject().put("k", "x").put("stamp", 4).putObject("value").put("sort", "of later");
+    entries.addObject().put("k", "y").put("stamp", 5).putObject("value").put("sort", "job");
+    entries.addObject().put("k", "z").put("stamp", 6).set("value", StateCodec.value(types));
+    page.put("more", false).put("epoch", 9);
+    Answer.Page read =
+        (Answer.Page)
+            StateCodec.decode(
+                new Request.ReadPage("", Optional.empty(), Request.Urgency.REST),
+                200,
+                Pack.messagePack(page));
+    assertThat(read.entries()).hasSize(3);
+    assertThat(read.entries().get(0).value()).isInstanceOf(StoredValue.Unreadable.class);
+    assertThat(read.entries().get(1).value()).isInstanceOf(StoredValue.Unreadable.class);
+    assertThat(read.entries().get(2).value()).isEqualTo(types);
+  }
+
   @Test
   void asksTheStateServiceAsThePageSays() throws Exception {
     HttpMessage commit =
