--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -123,6 +123,9 @@
   void jobChanged(KnownJob known, Moment now) {
     Optional<Job> withdrawn = jobs.changed(known, now);
     withdrawn.ifPresent(this::haltAll);
+    if (known.phase().isFinal()) {
+      jobs.find(known.id()).ifPresent(results::ended);
+    }
     roundDue = true;
   }
 
--- a/src/main/java/org/oakwalk/core/job/Job.java
+++ b/src/main/java/org/oakwalk/core/job/Job.java
@@ -71,6 +71,11 @@
     return state == State.OPEN;
   }
 
+  /** Whether it is stored as done or withdrawn. */
+  public boolean over() {
+    return state == State.DONE || state == State.WITHDRAWN;
+  }
+
   public Revision stamp() {
     return stamp;
   }
--- a/src/main/java/org/oakwalk/core/job/JobBook.java
+++ b/src/main/java/org/oakwalk/core/job/JobBook.java
@@ -71,11 +71,7 @@
 
   /** Forgets ended jobs of which nothing is left on any machine. */
   public void sweep() {
-    jobs.values()
-        .removeIf(
-            job ->
-                (job.state() == Job.State.DONE || job.state() == Job.State.WITHDRAWN)
-                    && job.activeCount() == 0);
+    jobs.values().removeIf(job -> job.over() && job.activeCount() == 0);
   }
 
   private Job add(KnownJob known, Moment now) {
--- a/src/main/java/org/oakwalk/core/job/ResultWriter.java
+++ b/src/main/java/org/oakwalk/core/job/ResultWriter.java
@@ -49,9 +49,13 @@
     this.limits = limits;
   }
 
-  /** A part of the job's results was found in the store. */
-  public void found(JobId id) {
-    chunked.add(id);
+  /** A part of a job's results was found in the store. */
+  public void found(JobId id, String key) {
+    if (view.job(id).filter(job -> job.phase().isFinal()).isPresent()) {
+      obsolete.add(key);
+    } else {
+      chunked.add(id);
+    }
   }
 
   public void tick(Moment now) {
@@ -77,13 +81,16 @@
             List.of(new Change.Put(key, record, Optional.empty())),
             Request.Urgency.RESULT),
         answer -> {
+          if (answer instanceof Answer.Committed) {
+            LOG.info("job {} is done after {}", job.id(), now.since(job.seen()));
+          }
           if (job.state() != Job.State.FINISHING) {
+            // The watch was faster.
             return;
           }
           if (answer instanceof Answer.Committed committed) {
             job.ended(false, committed.epoch());
-            LOG.info("job {} is done", job.id());
-            dropChunks(job);
+            ended(job);
             // Users are told only by the store's copy, so let it catch up at once.
             view.catchUp(now, known -> {});
           } else {
@@ -95,7 +102,8 @@
         });
   }
 
-  private void dropChunks(Job job) {
+  /** The job is stored as over, so the parts of its results are not needed any more. */
+  public void ended(Job job) {
     if (chunked.remove(job.id())) {
       for (int chunk = 0; chunk * DoneBits.CHUNK < job.spec().tasks(); chunk++) {
         obsolete.add(Keys.done(job.id(), chunk));
@@ -151,6 +159,9 @@
             for (Part part : parts) {
               part.job().stored(part.snapshot(), part.from(), part.to(), now);
               chunked.add(part.job().id());
+              if (part.job().over()) {
+                ended(part.job());
+              }
             }
             obsolete.removeAll(removed);
           }
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -154,7 +154,7 @@
       return;
     }
     JobId id = new JobId(parts[0]);
-    results.found(id);
+    results.found(id, entry.key());
     jobs.find(id)
         .ifPresent(
             job -> {
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -352,6 +352,9 @@
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
+      case "keys" -> {
+        return world.state.keys(line.word(4)) <= line.number("most", 0);
+      }
       case "writes" -> {
         return world.state.writes() <= line.number("most", 1e9);
       }
--- a/src/test/java/org/oakwalk/scenario/SimState.java
+++ b/src/test/java/org/oakwalk/scenario/SimState.java
@@ -54,6 +54,11 @@
     return requests;
   }
 
+  /** How many keys there are below a prefix. */
+  long keys(String prefix) {
+    return keys.keySet().stream().filter(key -> key.startsWith(prefix)).count();
+  }
+
   boolean down() {
     return time.now() < downUntil;
   }
