--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -337,7 +337,10 @@
     if (says.message() instanceof PeerMessage.Digest digest) {
       leadership.higherTokenSeen(digest.token(), now);
       relay.heard(digest.token(), now);
-      detour.heard(digest.from(), digest.token(), now);
+      if (view.leader().filter(l -> l.token().compareTo(digest.token()) > 0).isEmpty()) {
+        // Not one that was succeeded and does not know.
+        detour.heard(digest.from(), digest.token(), now);
+      }
       if (reign.isEmpty()) {
         desk.counts(digest.counts());
         suspects = digest.suspects();
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -80,7 +80,7 @@
     this.clock = now;
     this.nextRegular = now;
     Guard guard = new Guard(Keys.LEADER, new Revision(token.value()));
-    Span suspectAfter = settings.workers().report().times(2.2);
+    Span suspectAfter = settings.workers().suspectAfter();
     int changes = settings.state().changesPerCommit();
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
@@ -175,12 +175,12 @@
 
   /** Whether hardly any machine reaches this node, though there are some. */
   boolean blind(Moment now) {
-    return recovery.complete() && capacity.blind(now);
+    return recovery.complete() && capacity.health().blind(now);
   }
 
   /** This process stood still until now, so that nobody's silence tells anything. */
   void stoodStill(Moment now) {
-    capacity.stoodStill(now);
+    capacity.health().stoodStill(now);
   }
 
   void peerSettled(NodeId peer, Moment now) {
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -25,6 +25,12 @@
   /** The workers' timing. */
   public record Workers(Span report, Span lease, Span cancel) {
     private static final Span RELAY_MARGIN = Span.seconds(4);
+    private static final double MISSED_REPORTS = 2.2;
+
+    /** How long a machine may be silent before it is suspected to be out of reach or broken. */
+    public Span suspectAfter() {
+      return report.times(MISSED_REPORTS);
+    }
 
     /**
      * How long followers may keep leases alive for a leader that workers can't reach. A start
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -34,18 +34,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(Capacity.class);
   private static final Span PLAN_EVERY = Span.seconds(1);
   private static final Span RETRY = Span.seconds(1);
-  private static final Span PAID_AT_LEAST = Span.seconds(60);
-  private static final Span CONFIRMS_WITHIN = Span.seconds(4);
   private static final int MOST_RELEASED = 100;
   private static final double TIGHT_HALVES_IN_SECONDS = 150;
   private static final double LOOSE_HALVES_IN_SECONDS = 45;
-  private static final double OVERDUE = 0.7;
   private static final double TOTAL_HALVES_IN_SECONDS = 40;
   private static final double LOOSE_HEADROOM = 0.3;
-  private static final Span ON_ITS_WAY = Span.seconds(7);
   private static final Span OUT_OF_REACH = Span.seconds(10);
-  private static final int LEAST_TO_JUDGE = 3;
-  private static final double NEARLY_ALL = 0.75;
 
   private final Outbox outbox;
   private final Fleet fleet;
@@ -56,6 +50,7 @@
   private final Span suspectAfter;
   private final Demand demand;
   private final Boots boots;
+  private final Health health;
   private final Renter renter;
   private final Map<MachineId, Moment> firstListed = new HashMap<>();
   private final Set<MachineId> returned = new HashSet<>();
@@ -66,11 +61,9 @@
   private Moment nextRelease = new Moment(Long.MIN_VALUE / 2);
   private String summary = "";
   private boolean listing;
-  private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
-  private Moment stoodStill = new Moment(Long.MIN_VALUE / 2);
-  private final Map<String, Double> tightPeaks = new HashMap<>();
-  private final Map<String, Double> loosePeaks = new HashMap<>();
-  private final Map<String, Double> totalPeaks = new HashMap<>();
+  private final Peaks tightPeaks = new Peaks(PLAN_EVERY, TIGHT_HALVES_IN_SECONDS);
+  private final Peaks loosePeaks = new Peaks(PLAN_EVERY, LOOSE_HALVES_IN_SECONDS);
+  private final Peaks totalPeaks = new Peaks(PLAN_EVERY, TOTAL_HALVES_IN_SECONDS);
 
   public Capacity(
       Outbox outbox,
@@ -89,10 +82,16 @@
     this.limits = settings.cloud();
     this.suspectAfter = suspectAfter;
     this.boots = new Boots(policy.bootPatience());
+    this.health = new Health(fleet, boots, policy, suspectAfter);
     this.renter = new Renter(outbox, fleet, boots);
     this.demand = new Demand(settings.objectives(), runTimes);
   }
 
+  /** What tells broken machines from those that are merely out of reach. */
+  public Health health() {
+    return health;
+  }
+
   /** Follows the fleet; rents only once it is known what there is. */
   public void tick(Map<String, MachineType> known, boolean recovered, Moment now, WallTime wall) {
     types = known;
@@ -104,7 +103,7 @@
     }
     if (!nextPlan.isAfter(now)) {
       nextPlan = now.plus(PLAN_EVERY);
-      returnBroken(now);
+      health.survey(now, this::returnMachine);
       if (recovered) {
         plan(now, wall);
       }
@@ -114,15 +113,6 @@
     }
   }
 
-  /**
-   * This process stood still until now: what came in meanwhile has not been read, so for a while no
-   * machine is taken for silent and no boot for late.
-   */
-  public void stoodStill(Moment now) {
-    manyQuiet = now;
-    stoodStill = now;
-  }
-
   private void list(Optional<MachineId> after, Moment now) {
     listing = true;
     outbox.call(
@@ -176,108 +166,6 @@
     }
   }
 
-  /** Returns what doesn't work: silent machines, boots that never end, machines that fail tasks. */
-  private void returnBroken(Moment now) {
-    List<Machine> silent = new ArrayList<>();
-    int up = 0;
-    int lapsed = 0;
-    int quiet = 0;
-    for (Machine machine : List.copyOf(fleet.machines())) {
-      machine
-          .takeBoot()
-          .ifPresent(took -> boots.came(Boots.Sort.of(machine), machine.type(), took));
-      switch (machine.state()) {
-        case BOOTING -> {
-          if (listens(now)
-              && now.past(
-                  machine.known(), boots.givenUpAfter(Boots.Sort.of(machine), machine.type()))) {
-            LOG.info("machine {} never came up", machine.id());
-            boots.failed(Boots.Sort.of(machine), machine.type(), now);
-            returnMachine(machine);
-          }
-        }
-        case UP -> {
-          up++;
-          // Reports come at their own times, so of machines that a cut takes all at once some seem
-          // silent well before the others; who is overdue already counts as well.
-          quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
-          if (now.past(machine.heard(), patience(machine))) {
-            silent.add(machine);
-          } else if (unfit(machine) && !machine.draining()) {
-            LOG.info(
-                "machine {} {} and is left out",
-                machine.id(),
-                machine.slow() ? "is slow" : "fails its tasks");
-            machine.drain(true);
-          }
-          if (machine.draining() && machine.idle() && now.past(machine.known(), PAID_AT_LEAST)) {
-            returnMachine(machine);
-          }
-        }
-        case LAPSED -> {
-          lapsed++;
-          quiet++;
-          silent.add(machine);
-        }
-        case UNCONFIRMED -> {
-          up++;
-          if (now.past(machine.known(), CONFIRMS_WITHIN)) {
-            quiet++;
-            silent.add(machine);
-          }
-        }
-        case ENROLLING, RETURNING, GONE -> {}
-      }
-    }
-    // Many silent machines at once are out of reach rather than broken. They are left alone, also
-    // when their leases have run out, since they come back when the network does.
-    if (quiet > Math.max(2, (up + lapsed) / 6)) {
-      manyQuiet = now;
-    }
-    // When the network is back they report one after the other: the last few are not broken either.
-    if (listens(now)) {
-      for (Machine machine : silent) {
-        // One machine that does not answer a new leader holds up all older jobs.
-        if (machine.state() == Machine.State.UNCONFIRMED
-            || now.past(machine.heard(), policy.suspectAfter())) {
-          LOG.info("machine {} is silent, {} tasks", machine.id(), machine.placements().size());
-          returnMachine(machine);
-        }
-      }
-    }
-  }
-
-  /** A machine that can't reach this node is off trying to now and then. */
-  private Span patience(Machine machine) {
-    return machine.carried() ? suspectAfter.plus(ON_ITS_WAY) : suspectAfter;
-  }
-
-  /**
-   * Whether hardly any machine reaches this node, though there are some: it is cut off from them.
-   */
-  public boolean blind(Moment now) {
-    int up = 0;
-    int unreached = 0;
-    for (Machine machine : fleet.machines()) {
-      if (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED) {
-        up++;
-        unreached += machine.carried() || now.past(machine.heard(), suspectAfter) ? 1 : 0;
-      }
-    }
-    return up >= LEAST_TO_JUDGE
-        && unreached >= up * NEARLY_ALL
-        && now.past(stoodStill, suspectAfter.plus(policy.suspectAfter()));
-  }
-
-  /** Whether silence tells anything: not when many were silent at once a short time ago. */
-  private boolean listens(Moment now) {
-    return now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()));
-  }
-
-  private static boolean unfit(Machine machine) {
-    return machine.faulty() || machine.slow();
-  }
-
   private void returnMachine(Machine machine) {
     fleet.returning(machine);
     releasing.add(machine);
@@ -336,11 +224,13 @@
     }
     for (MachineType type : types.values()) {
       Need need = needs.getOrDefault(type.name(), Need.NONE);
-      double tight = peak(tightPeaks, type, need.tight(), TIGHT_HALVES_IN_SECONDS);
-      double loose = peak(loosePeaks, type, need.total() - need.tight(), LOOSE_HALVES_IN_SECONDS);
+      // What could not be rented was not used either, so it is no measure for what is kept.
+      int held = held(type);
+      double tight = tightPeaks.raise(type.name(), need.tight(), held);
+      double loose = loosePeaks.raise(type.name(), need.total() - need.tight(), held);
       // The two peaks belong to different moments, so together they ask for more than was ever
       // asked for at once; over a large fleet that is most of the money.
-      double total = peak(totalPeaks, type, need.total(), TOTAL_HALVES_IN_SECONDS);
+      double total = totalPeaks.raise(type.name(), need.total(), held);
       double ready =
           Math.min(
               total * (1 + policy.headroom()),
@@ -351,17 +241,6 @@
     }
   }
 
-  /** The most that was asked for of late; it fades by half again and again. */
-  private double peak(
-      Map<String, Double> peaks, MachineType type, double asked, double halvesInSeconds) {
-    double fade = Math.pow(0.5, PLAN_EVERY.asSeconds() / halvesInSeconds);
-    // What could not be rented was not used either, so it is no measure for what is kept.
-    double kept = Math.min(peaks.getOrDefault(type.name(), 0.0), held(type));
-    double peak = Math.max(asked, kept * fade);
-    peaks.put(type.name(), peak);
-    return peak;
-  }
-
   private int held(MachineType type) {
     int held = 0;
     for (Machine machine : fleet.machines()) {
@@ -491,7 +370,7 @@
       // Many silent at once are out of reach for a while; to rent as many again would be waste.
       case UP ->
           !machine.draining()
-              && !now.past(machine.heard(), listens(now) ? suspectAfter : OUT_OF_REACH);
+              && !now.past(machine.heard(), health.listens(now) ? suspectAfter : OUT_OF_REACH);
       case LAPSED, RETURNING, GONE -> false;
     };
   }
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/capacity/Health.java
@@ -0,0 +1,155 @@
+package org.oakwalk.core.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Policy;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.fleet.Fleet;
+import org.oakwalk.core.fleet.Machine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells broken machines from those that are out of reach, and from this node's own trouble. */
+public final class Health {
+  private static final Logger LOG = LoggerFactory.getLogger(Health.class);
+  private static final Span PAID_AT_LEAST = Span.seconds(60);
+  private static final Span CONFIRMS_WITHIN = Span.seconds(4);
+  private static final double OVERDUE = 0.7;
+
+  /** How long a machine may take to find out that it still can't reach the leader itself. */
+  private static final Span ON_ITS_WAY = Span.seconds(7);
+
+  private static final int LEAST_TO_JUDGE = 3;
+  private static final double NEARLY_ALL = 0.75;
+
+  private final Fleet fleet;
+  private final Boots boots;
+  private final Policy.Capacity policy;
+  private final Span suspectAfter;
+  private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
+  private Moment stoodStill = new Moment(Long.MIN_VALUE / 2);
+
+  Health(Fleet fleet, Boots boots, Policy.Capacity policy, Span suspectAfter) {
+    this.fleet = fleet;
+    this.boots = boots;
+    this.policy = policy;
+    this.suspectAfter = suspectAfter;
+  }
+
+  /**
+   * This process stood still until now: what came in meanwhile has not been read, so for a while no
+   * machine is taken for silent and no boot for late.
+   */
+  public void stoodStill(Moment now) {
+    manyQuiet = now;
+    stoodStill = now;
+  }
+
+  /**
+   * Finds what doesn't work: silent machines, boots that never end, machines that fail tasks.
+   *
+   * @param giveBack takes each machine that is to be returned
+   */
+  void survey(Moment now, Consumer<Machine> giveBack) {
+    List<Machine> silent = new ArrayList<>();
+    int up = 0;
+    int lapsed = 0;
+    int quiet = 0;
+    for (Machine machine : List.copyOf(fleet.machines())) {
+      machine
+          .takeBoot()
+          .ifPresent(took -> boots.came(Boots.Sort.of(machine), machine.type(), took));
+      switch (machine.state()) {
+        case BOOTING -> {
+          if (listens(now)
+              && now.past(
+                  machine.known(), boots.givenUpAfter(Boots.Sort.of(machine), machine.type()))) {
+            LOG.info("machine {} never came up", machine.id());
+            boots.failed(Boots.Sort.of(machine), machine.type(), now);
+            giveBack.accept(machine);
+          }
+        }
+        case UP -> {
+          up++;
+          // Reports come at their own times, so of machines that a cut takes all at once some seem
+          // silent well before the others; who is overdue already counts as well.
+          quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
+          if (now.past(machine.heard(), patience(machine))) {
+            silent.add(machine);
+          } else if (unfit(machine) && !machine.draining()) {
+            LOG.info(
+                "machine {} {} and is left out",
+                machine.id(),
+                machine.slow() ? "is slow" : "fails its tasks");
+            machine.drain(true);
+          }
+          if (machine.draining() && machine.idle() && now.past(machine.known(), PAID_AT_LEAST)) {
+            giveBack.accept(machine);
+          }
+        }
+        case LAPSED -> {
+          lapsed++;
+          quiet++;
+          silent.add(machine);
+        }
+        case UNCONFIRMED -> {
+          up++;
+          if (now.past(machine.known(), CONFIRMS_WITHIN)) {
+            quiet++;
+            silent.add(machine);
+          }
+        }
+        case ENROLLING, RETURNING, GONE -> {}
+      }
+    }
+    // Many silent machines at once are out of reach rather than broken. They are left alone, also
+    // when their leases have run out, since they come back when the network does.
+    if (quiet > Math.max(2, (up + lapsed) / 6)) {
+      manyQuiet = now;
+    }
+    // When the network is back they report one after the other: the last few are not broken either.
+    if (listens(now)) {
+      for (Machine machine : silent) {
+        // One machine that does not answer a new leader holds up all older jobs.
+        if (machine.state() == Machine.State.UNCONFIRMED
+            || now.past(machine.heard(), policy.suspectAfter())) {
+          LOG.info("machine {} is silent, {} tasks", machine.id(), machine.placements().size());
+          giveBack.accept(machine);
+        }
+      }
+    }
+  }
+
+  /** A machine that can't reach this node is off trying to now and then. */
+  private Span patience(Machine machine) {
+    return machine.carried() ? suspectAfter.plus(ON_ITS_WAY) : suspectAfter;
+  }
+
+  /**
+   * Whether hardly any machine reaches this node, though there are some: it is cut off from them.
+   */
+  public boolean blind(Moment now) {
+    int up = 0;
+    int unreached = 0;
+    for (Machine machine : fleet.machines()) {
+      if (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED) {
+        up++;
+        unreached += machine.carried() || now.past(machine.heard(), suspectAfter) ? 1 : 0;
+      }
+    }
+    return up >= LEAST_TO_JUDGE
+        && unreached >= up * NEARLY_ALL
+        && now.past(stoodStill, suspectAfter.plus(policy.suspectAfter()));
+  }
+
+  /** Whether silence tells anything: not when many were silent at once a short time ago. */
+  boolean listens(Moment now) {
+    return now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()));
+  }
+
+  private static boolean unfit(Machine machine) {
+    return machine.faulty() || machine.slow();
+  }
+}
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -35,7 +35,6 @@
 public final class Fleet {
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final Span LAPSE_MARGIN = Span.millis(500);
-  private static final double MISSED_REPORTS = 2.2;
 
   /** Told what becomes of tasks. */
   public interface Listener {
@@ -229,7 +228,7 @@
       machine.renewed(now);
     }
     machine.address(report.address());
-    if (now.past(machine.heard(), timing.report().times(MISSED_REPORTS))) {
+    if (now.past(machine.heard(), timing.suspectAfter())) {
       // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
       machine.placements().forEach(Placement::unwatched);
     }
--- a/src/main/java/org/oakwalk/core/leadership/Relay.java
+++ b/src/main/java/org/oakwalk/core/leadership/Relay.java
@@ -78,10 +78,6 @@
     this.worthwhile = window.compareTo(settings.workers().lease().times(0.5)) > 0;
   }
 
-  public State state() {
-    return state;
-  }
-
   /** A leader was heard; nothing under an older token goes out from here on. */
   public void heard(Token leader, Moment now) {
     heard = now;
