Guests give back what others are guaranteed; idle-hours work rents little and gives way

Change: all that a team without a guarantee uses is borrowed. Lowest priority without deadline or objective is spread over ten minutes, is no reason to hold machines, and is stopped for batch that finds no room if it saves its progress.

--- a/src/main/java/org/oakwalk/core/capacity/Demand.java
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -7,6 +7,7 @@
 import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.Room;
 import org.oakwalk.core.placement.RunTimes;
 
@@ -15,6 +16,9 @@
   private static final double SOONEST_BOOTS = 1.4;
   private static final Span DEFAULT_TARGET = Span.seconds(120);
 
+  /** Over this time work is spread that nobody waits for. */
+  private static final Span IDLE_SPREAD = Span.seconds(600);
+
   private final List<Settings.Objective> objectives;
   private final RunTimes runTimes;
 
@@ -37,6 +41,10 @@
       return Math.max(1, job.activeCount());
     }
     double run = Math.max(1, runTimes.expected(spec).asSeconds());
+    if (idle(spec)) {
+      // It fills what is idle anyhow, so what it uses at present is no measure of what to rent.
+      return Math.min(open, Math.ceil(open * run / IDLE_SPREAD.asSeconds()));
+    }
     double left = target(spec).minus(now.since(job.accepted())).asSeconds() * 0.8;
     left -= type.fetch(spec.imageGb()).asSeconds();
     double waves = Math.max(1, Math.floor(left / run));
@@ -51,10 +59,21 @@
     if (spec.service()) {
       return true;
     }
+    if (idle(spec)) {
+      return false;
+    }
     Span slack = target(spec).minus(runTimes.expected(spec)).minus(type.fetch(spec.imageGb()));
     return slack.compareTo(type.boot().times(SOONEST_BOOTS)) < 0;
   }
 
+  /** Whether nobody waits for the job: it is of the lowest priority, and no time is set for it. */
+  private boolean idle(JobSpec spec) {
+    return spec.priority() == Priority.LOW
+        && spec.due().isEmpty()
+        && objectives.stream()
+            .noneMatch(o -> o.kind().equals("finished") && o.jobClass().equals(spec.jobClass()));
+  }
+
   private Span target(JobSpec spec) {
     Span target = spec.due().orElse(DEFAULT_TARGET);
     for (Settings.Objective objective : objectives) {
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -41,6 +41,10 @@
   private final Span suspectAfter;
   private final Map<Machine, Job> reserved = new HashMap<>();
   private int placed;
+
+  /** Found out once a round, if it matters. */
+  private Boolean savable;
+
   private WallTime wall = new WallTime(0);
   private Moment clock = new Moment(0);
 
@@ -74,6 +78,7 @@
    */
   public int round(boolean inheritedToo, boolean regular, Moment now, WallTime wall) {
     placed = 0;
+    savable = null;
     this.wall = wall;
     this.clock = now;
     quota.survey(jobs.all());
@@ -358,7 +363,9 @@
   /** Stops less urgent tasks for those of a job that found no room. */
   private int makeRoom(Job job, List<Machine> machines, int most, Moment now) {
     boolean claims = quota.guarantees(job);
-    if (job.suspect() || (job.spec().priority().compareTo(Priority.NORMAL) <= 0 && !claims)) {
+    boolean stops = job.spec().priority().compareTo(Priority.NORMAL) > 0 || claims;
+    boolean displaces = job.spec().priority() == Priority.NORMAL && anySavable(machines);
+    if (job.suspect() || !(stops || displaces)) {
       return 0;
     }
     int stopped = 0;
@@ -377,6 +384,17 @@
     return stopped;
   }
 
+  /** Whether there is work of the lowest priority whose stop would lose hardly anything. */
+  private boolean anySavable(List<Machine> machines) {
+    if (savable == null) {
+      savable =
+          machines.stream()
+              .flatMap(machine -> machine.placements().stream())
+              .anyMatch(placement -> !placement.halting() && Preemption.savable(placement));
+    }
+    return savable;
+  }
+
   private void reserve(Job job, List<Machine> machines) {
     if (reserved.containsValue(job) || reserved.size() >= MOST_RESERVATIONS) {
       return;
--- a/src/main/java/org/oakwalk/core/placement/Preemption.java
+++ b/src/main/java/org/oakwalk/core/placement/Preemption.java
@@ -12,6 +12,8 @@
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.Placement;
 import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.Room;
 
 /** Finds tasks that may be stopped to make room for a more urgent one, at the least loss. */
@@ -73,9 +75,22 @@
     return asked.fits(free) ? new Plan(machine, victims, cost) : null;
   }
 
+  /**
+   * Whether it is work of the lowest priority that saves its progress, which fills idle machines
+   * and gives way at once. Where a stop would lose the work, batch waits for it to end.
+   */
+  static boolean savable(Placement placement) {
+    JobSpec spec = placement.job().spec();
+    return spec.priority() == Priority.LOW && spec.checkpointEvery().millis() > 0;
+  }
+
   private boolean yields(Placement placement, Job job, boolean claims) {
     Job other = placement.job();
-    if (other.spec().priority().compareTo(job.spec().priority()) < 0) {
+    boolean stops = claims || job.spec().priority().compareTo(Priority.NORMAL) > 0;
+    if (stops && other.spec().priority().compareTo(job.spec().priority()) < 0) {
+      return true;
+    }
+    if (job.spec().priority() == Priority.NORMAL && savable(placement)) {
       return true;
     }
     return claims
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -66,12 +66,13 @@
     return guaranteed.contains(job);
   }
 
-  /** Whether the team uses more than it is guaranteed, so that others may claim it back. */
+  /**
+   * Whether the team uses more than it is guaranteed, so that others may claim it back. Of a team
+   * without any guarantee, such as a guest, that is all it uses.
+   */
   public boolean borrows(String name) {
     Settings.Team team = teams.get(name);
     Room use = fleet.use(name);
-    return team != null
-        && (team.cpus() > 0 || team.gpus() > 0)
-        && (use.cpus() > team.cpus() + 1e-6 || use.gpus() > team.gpus() + 1e-6);
+    return team != null && (use.cpus() > team.cpus() + 1e-6 || use.gpus() > team.gpus() + 1e-6);
   }
 }
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -208,7 +208,7 @@
             line.text("image", "img"),
             line.number("gb", 0),
             Span.seconds(line.number("guess", line.number("run", 0))),
-            Span.seconds(0),
+            Span.seconds(line.number("saves", 0)),
             Span.seconds(0),
             due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
     if (world.users.containsKey(id)) {
