--- a/src/main/java/org/oakwalk/core/capacity/Boots.java
+++ b/src/main/java/org/oakwalk/core/capacity/Boots.java
@@ -15,10 +15,13 @@
   private static final double WEIGHT = 0.25;
 
   /** What usual boots take may be exceeded this often before a replacement is rented. */
-  private static final double REPLACED_AFTER = 2;
+  private static final double REPLACED_AFTER = 1.6;
 
   /** And this often before the machine is given up; it is charged all the while. */
-  private static final double GIVEN_UP_AFTER = 4;
+  private static final double GIVEN_UP_AFTER = 3.2;
+
+  /** Boots vary by about so much over the type's own time without being late. */
+  private static final double USUAL_MOST = 1.6;
 
   /** Late boots may use up the operators' patience so many times, but only where some came late. */
   private static final double MOST_PATIENCE = 2;
@@ -27,6 +30,7 @@
   private static final double PATIENCE_GAINED = 0.25;
 
   private static final int MOST_IN_A_ROW = 4;
+  private static final int BLAMED_AFTER = 2;
   private static final Span BLAMED_FOR = Span.seconds(90);
 
   /** Machines of one sort in one zone. */
@@ -74,10 +78,13 @@
     record.failed = now;
   }
 
-  /** Whether machines of this sort have failed to come up a short time ago. */
+  /**
+   * Whether machines of this sort failed to come up one after the other a short time ago. A single
+   * one tells nothing: some fail everywhere.
+   */
   boolean blamed(Sort sort, Moment now) {
     Record record = records.get(sort);
-    return record != null && !now.past(record.failed, BLAMED_FOR);
+    return record != null && record.givenUp >= BLAMED_AFTER && !now.past(record.failed, BLAMED_FOR);
   }
 
   /** After what time a machine that still boots is replaced. */
@@ -88,10 +95,11 @@
   /** After what time a machine that still boots is given up. */
   Span givenUpAfter(Sort sort, MachineType type) {
     Record record = records.get(sort);
-    int inARow = record == null ? 0 : Math.min(MOST_IN_A_ROW, record.givenUp);
+    boolean noneComes = record != null && record.givenUp >= BLAMED_AFTER;
+    int inARow = noneComes ? Math.min(MOST_IN_A_ROW, record.givenUp) : 0;
     Span late = usual(sort, type).times(GIVEN_UP_AFTER * (1 + inARow * PATIENCE_GAINED));
-    Span nominal = type.boot().times(GIVEN_UP_AFTER);
-    Span most = late.compareTo(nominal) > 0 ? patience.times(MOST_PATIENCE) : patience;
+    boolean known = noneComes || usual(sort, type).compareTo(type.boot().times(USUAL_MOST)) > 0;
+    Span most = known ? patience.times(MOST_PATIENCE) : patience;
     return late.compareTo(most) < 0 ? late : most;
   }
 
