Machines that were returned are not found again in the list

Change: what the cloud confirmed as gone is never taken up again; what the list shows as running tells nothing of boots.

--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -52,7 +52,6 @@
   private final Boots boots;
   private final Health health;
   private final Renter renter;
-  private final Map<MachineId, Moment> firstListed = new HashMap<>();
   private final Set<MachineId> returned = new HashSet<>();
   private final Set<Machine> releasing = new HashSet<>();
   private Map<String, MachineType> types = Map.of();
@@ -142,28 +141,30 @@
       }
       return;
     }
-    // A machine that was returned a moment ago may still be listed.
-    Moment first = firstListed.computeIfAbsent(rental.id(), id -> now);
-    if (now.past(first, limits.listLag().times(2).plus(Span.seconds(2)))
-        || !returned.contains(rental.id())) {
-      Moment rented = new Moment(now.millis() - rental.held().millis());
-      fleet
-          .add(
-              rental.id(),
-              rental.address(),
-              rental.type(),
-              rental.zone(),
-              rental.spot(),
-              Machine.State.BOOTING,
-              rented)
-          .ifPresent(
-              added -> {
-                LOG.info("machine {} found in the list", added.id());
-                if (rental.status() == Rental.Status.FAILED) {
-                  returnMachine(added);
-                }
-              });
+    if (returned.contains(rental.id())) {
+      // The list shows the past, and what the cloud has confirmed as gone never comes back. Taken
+      // for
+      // one that boots, it would be given up later, as if boots had failed.
+      return;
     }
+    Moment rented = new Moment(now.millis() - rental.held().millis());
+    fleet
+        .add(
+            rental.id(),
+            rental.address(),
+            rental.type(),
+            rental.zone(),
+            rental.spot(),
+            Machine.State.BOOTING,
+            rented)
+        .ifPresent(
+            added -> {
+              LOG.info("machine {} found in the list", added.id());
+              added.listed(rental.status());
+              if (rental.status() == Rental.Status.FAILED) {
+                returnMachine(added);
+              }
+            });
   }
 
   private void returnMachine(Machine machine) {
--- a/src/main/java/org/oakwalk/core/capacity/Health.java
+++ b/src/main/java/org/oakwalk/core/capacity/Health.java
@@ -67,7 +67,9 @@
               && now.past(
                   machine.known(), boots.givenUpAfter(Boots.Sort.of(machine), machine.type()))) {
             LOG.info("machine {} never came up", machine.id());
-            boots.failed(Boots.Sort.of(machine), machine.type(), now);
+            if (!machine.listedAsUp()) {
+              boots.failed(Boots.Sort.of(machine), machine.type(), now);
+            }
             giveBack.accept(machine);
           }
         }
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -249,7 +249,7 @@
     }
     switch (machine.state()) {
       case BOOTING -> {
-        if (expected) {
+        if (expected && !machine.listedAsUp()) {
           machine.booted(now);
         }
         machine.enter(Machine.State.ENROLLING);
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -199,10 +199,6 @@
     return jobs >= SEVERAL_JOBS || elsewhere;
   }
 
-  public Rental.Status listed() {
-    return listed;
-  }
-
   /** Whether no new tasks are to be put on it. */
   public boolean draining() {
     return draining || retiring || reclaimedAt != null;
@@ -271,10 +267,16 @@
     return images.containsKey(image);
   }
 
-  void listed(Rental.Status status) {
+  /** How the cloud's list showed it when it became known from there. */
+  public void listed(Rental.Status status) {
     listed = status;
   }
 
+  /** Whether the cloud said that it is up already, so that its time to come up tells nothing. */
+  public boolean listedAsUp() {
+    return listed == Rental.Status.RUNNING;
+  }
+
   public void retire(boolean on) {
     retiring = on;
   }
--- a/src/test/java/org/oakwalk/scenario/Scenario.java
+++ b/src/test/java/org/oakwalk/scenario/Scenario.java
@@ -322,6 +322,8 @@
         + world.workers.values().stream().filter(SimWorker::alive).count()
         + ", rented "
         + world.cloud.rented
+        + ", released "
+        + world.cloud.released
         + ", writes "
         + world.state.writes()
         + ", requests "
@@ -342,6 +344,9 @@
         return world.cloud.rented <= line.number("most", 1e9)
             && world.cloud.rented >= line.number("least", 0);
       }
+      case "releases" -> {
+        return world.cloud.released <= line.number("most", 1e9);
+      }
       case "starts" -> {
         return world.rules.totalStarts() >= line.number("least", 0)
             && world.rules.totalStarts() <= line.number("most", 1e9);
--- a/src/test/java/org/oakwalk/scenario/SimCloud.java
+++ b/src/test/java/org/oakwalk/scenario/SimCloud.java
@@ -33,6 +33,7 @@
   private String bootTroubleZone = "";
   private double bootFactor = 1;
   int rented;
+  int released;
 
   SimCloud(World world, double lagSeconds) {
     this.world = world;
@@ -76,6 +77,7 @@
     } else if (request instanceof Request.Rent rent) {
       then.accept(rent(rent));
     } else if (request instanceof Request.Release release) {
+      released += release.machines().size();
       for (MachineId id : release.machines()) {
         remove(id);
       }
