Up to fifty machines a request; blind is counted in the survey; zones chosen in one step

The protocol allows 50. Health walked the whole fleet at each of twenty ticks a second to ask whether the leader is cut off; the survey that walks it once a second counts in passing. Renter leaves out blamed zones by a filter, Boots and Health say their conditions once.

--- a/src/main/java/org/oakwalk/core/capacity/Boots.java
+++ b/src/main/java/org/oakwalk/core/capacity/Boots.java
@@ -84,7 +84,11 @@
    */
   boolean blamed(Sort sort, Moment now) {
     Record record = records.get(sort);
-    return record != null && record.givenUp >= BLAMED_AFTER && !now.past(record.failed, BLAMED_FOR);
+    return noneComes(record) && !now.past(record.failed, BLAMED_FOR);
+  }
+
+  private static boolean noneComes(Record record) {
+    return record != null && record.givenUp >= BLAMED_AFTER;
   }
 
   /** After what time a machine that still boots is replaced. */
@@ -95,7 +99,7 @@
   /** After what time a machine that still boots is given up. */
   Span givenUpAfter(Sort sort, MachineType type) {
     Record record = records.get(sort);
-    boolean noneComes = record != null && record.givenUp >= BLAMED_AFTER;
+    boolean noneComes = noneComes(record);
     int inARow = noneComes ? Math.min(MOST_IN_A_ROW, record.givenUp) : 0;
     Span late = usual(sort, type).times(GIVEN_UP_AFTER * (1 + inARow * PATIENCE_GAINED));
     boolean known = noneComes || usual(sort, type).compareTo(type.boot().times(USUAL_MOST)) > 0;
--- a/src/main/java/org/oakwalk/core/capacity/Health.java
+++ b/src/main/java/org/oakwalk/core/capacity/Health.java
@@ -28,6 +28,8 @@
   private final Boots boots;
   private final Policy.Capacity policy;
   private final Span suspectAfter;
+  private int known;
+  private int unreached;
   private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
   private Moment stoodStill = new Moment(Long.MIN_VALUE / 2);
 
@@ -56,7 +58,9 @@
     List<Machine> silent = new ArrayList<>();
     int up = 0;
     int lapsed = 0;
+    int unconfirmed = 0;
     int quiet = 0;
+    unreached = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
       machine
           .takeBoot()
@@ -75,6 +79,7 @@
         }
         case UP -> {
           up++;
+          unreached += notReached(machine, now) ? 1 : 0;
           // Reports come at their own times, so of machines that a cut takes all at once some seem
           // silent well before the others; who is overdue already counts as well.
           quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
@@ -93,11 +98,12 @@
         }
         case LAPSED -> {
           lapsed++;
+          unreached += notReached(machine, now) ? 1 : 0;
           quiet++;
           silent.add(machine);
         }
         case UNCONFIRMED -> {
-          up++;
+          unconfirmed++;
           if (now.past(machine.known(), CONFIRMS_WITHIN)) {
             quiet++;
             silent.add(machine);
@@ -108,7 +114,8 @@
     }
     // Many silent machines at once are out of reach rather than broken. They are left alone, also
     // when their leases have run out, since they come back when the network does.
-    if (quiet > Math.max(2, (up + lapsed) / 6)) {
+    known = up + lapsed;
+    if (quiet > Math.max(2, (known + unconfirmed) / 6)) {
       manyQuiet = now;
     }
     // When the network is back they report one after the other: the last few are not broken either.
@@ -124,31 +131,32 @@
     }
   }
 
+  private boolean notReached(Machine machine, Moment now) {
+    return machine.carried() || now.past(machine.heard(), suspectAfter);
+  }
+
   /** A machine that can't reach this node is off trying to now and then. */
   private Span patience(Machine machine) {
     return machine.carried() ? suspectAfter.plus(ON_ITS_WAY) : suspectAfter;
   }
 
   /**
-   * Whether hardly any machine reaches this node, though there are some: it is cut off from them.
+   * Whether at the last survey hardly any machine reached this node, though there are some: it is
+   * cut off from them.
    */
   public boolean blind(Moment now) {
-    int up = 0;
-    int unreached = 0;
-    for (Machine machine : fleet.machines()) {
-      if (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED) {
-        up++;
-        unreached += machine.carried() || now.past(machine.heard(), suspectAfter) ? 1 : 0;
-      }
-    }
-    return up >= LEAST_TO_JUDGE
-        && unreached >= up * NEARLY_ALL
-        && now.past(stoodStill, suspectAfter.plus(policy.suspectAfter()));
+    return known >= LEAST_TO_JUDGE
+        && unreached >= known * NEARLY_ALL
+        && settledSince(stoodStill, now);
+  }
+
+  private boolean settledSince(Moment trouble, Moment now) {
+    return now.past(trouble, suspectAfter.plus(policy.suspectAfter()));
   }
 
   /** Whether silence tells anything: not when many were silent at once a short time ago. */
   boolean listens(Moment now) {
-    return now.past(manyQuiet, suspectAfter.plus(policy.suspectAfter()));
+    return settledSince(manyQuiet, now);
   }
 
   private static boolean unfit(Machine machine) {
--- a/src/main/java/org/oakwalk/core/capacity/Renter.java
+++ b/src/main/java/org/oakwalk/core/capacity/Renter.java
@@ -24,7 +24,7 @@
 final class Renter {
   private static final Logger LOG = LoggerFactory.getLogger(Renter.class);
   private static final Span REFUSED_PAUSE = Span.seconds(8);
-  private static final int MOST_PER_ASK = 20;
+  private static final int MOST_PER_ASK = 50;
 
   private final Outbox outbox;
   private final Fleet fleet;
@@ -41,8 +41,8 @@
   }
 
   /**
-   * Asks for machines in the zones that have fewest, those last where machines have failed to come
-   * up; returns for how many it asked.
+   * Asks for machines in the zones that have fewest, where machines have failed to come up only if
+   * that is so in all; returns for how many it asked.
    */
   int rent(MachineType type, boolean spot, int count, Moment now) {
     clock = now;
@@ -54,12 +54,14 @@
     }
     List<String> zones = new ArrayList<>(type.zones());
     zones.removeIf(zone -> !free(new Boots.Sort(type.name(), zone, spot), now));
+    List<String> sound = new ArrayList<>(zones);
+    sound.removeIf(zone -> boots.blamed(new Boots.Sort(type.name(), zone, spot), now));
+    if (!sound.isEmpty()) {
+      zones = sound;
+    }
     zones.sort(
-        Comparator.comparing(
-                (String zone) -> boots.blamed(new Boots.Sort(type.name(), zone, spot), now))
-            .thenComparingInt(zone -> held.getOrDefault(zone, 0))
+        Comparator.comparingInt((String zone) -> held.getOrDefault(zone, 0))
             .thenComparing(Comparator.naturalOrder()));
-    zones.subList(soundZones(zones, type, spot, now), zones.size()).clear();
     int asked = 0;
     for (int i = 0; i < zones.size() && asked < count; i++) {
       int share = (int) Math.ceil((count - asked) / (double) (zones.size() - i));
@@ -80,15 +82,6 @@
     return asked;
   }
 
-  /** How many zones come first in which boots have not failed; all if there is none. */
-  private int soundZones(List<String> zones, MachineType type, boolean spot, Moment now) {
-    int sound = 0;
-    for (String zone : zones) {
-      sound += boots.blamed(new Boots.Sort(type.name(), zone, spot), now) ? 0 : 1;
-    }
-    return sound == 0 ? zones.size() : sound;
-  }
-
   private boolean free(Boots.Sort market, Moment now) {
     Moment until = refusedUntil.get(market);
     return !asking.contains(market) && (until == null || !until.isAfter(now));
