--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/Reign.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -99,7 +100,15 @@
     this.registry = new Registry(outbox, fleet, guard, changes);
     this.results = new ResultWriter(outbox, jobs, view, guard, settings.state());
     this.recovery =
-        new Recovery(outbox, fleet, jobs, results, registry, settings.peers(), coastLimit, now);
+        new Recovery(
+            outbox,
+            fleet,
+            jobs,
+            results,
+            registry,
+            mayCoast(settings, view, coastLimit, now),
+            coastLimit,
+            now);
     this.placer =
         new Placer(
             fleet,
@@ -115,6 +124,17 @@
             outbox, fleet, jobs, registry, policy.capacity(), settings, runTimes, suspectAfter);
   }
 
+  /**
+   * Peers that may still answer workers under an older token: those whose key was seen to end
+   * within the time for which a leader may coast, or all if this node has not watched for so long.
+   */
+  private static Set<NodeId> mayCoast(
+      Settings settings, StoreView view, Span coastLimit, Moment now) {
+    Set<NodeId> peers = new HashSet<>(settings.peers());
+    view.ledWithin(coastLimit.surelyPassed(), now).ifPresent(peers::retainAll);
+    return peers;
+  }
+
   Token token() {
     return token;
   }
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -1,7 +1,6 @@
 package org.oakwalk.core.recovery;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -23,6 +22,7 @@
 import org.oakwalk.core.store.DoneBits;
 import org.oakwalk.core.store.Entry;
 import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.StoreView;
 import org.oakwalk.core.store.StoredValue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +52,7 @@
   private final Registry registry;
   private final Moment rose;
   private final Set<NodeId> unsettledPeers;
+  private final Moment relaysEnd;
   private Moment lastForeignRenewal;
   private Map<String, MachineType> types = Map.of();
   private State state = State.READING_RESULTS;
@@ -65,7 +66,7 @@
       JobBook jobs,
       ResultWriter results,
       Registry registry,
-      List<NodeId> peers,
+      Set<NodeId> mayCoast,
       Span coastLimit,
       Moment rose) {
     this.outbox = outbox;
@@ -74,8 +75,11 @@
     this.results = results;
     this.registry = registry;
     this.rose = rose;
-    this.unsettledPeers = new HashSet<>(peers);
-    this.lastForeignRenewal = rose.plus(coastLimit.surelyPassed());
+    this.unsettledPeers = new HashSet<>(mayCoast);
+    // A follower that kept a zone's leases alive under an older token stops once its copy of the
+    // store shows the change of leader.
+    this.relaysEnd = rose.plus(StoreView.LAG.surelyPassed());
+    this.lastForeignRenewal = mayCoast.isEmpty() ? relaysEnd : rose.plus(coastLimit.surelyPassed());
   }
 
   public State state() {
@@ -96,13 +100,13 @@
     return lastForeignRenewal;
   }
 
-  /** A peer says that it acts under no older token any more. */
+  /** A peer says that it acts under no older token any more; only those that led lately matter. */
   public void settled(NodeId peer, Moment now) {
     if (unsettledPeers.remove(peer)
         && unsettledPeers.isEmpty()
         && lastForeignRenewal.isAfter(now)) {
-      lastForeignRenewal = now;
-      LOG.info("all peers have let go, token {}", fleet.token());
+      lastForeignRenewal = now.isAfter(relaysEnd) ? now : relaysEnd;
+      LOG.info("no peer acts under an older token, token {}", fleet.token());
     }
   }
 
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.Token;
@@ -81,6 +82,11 @@
   private State state = State.LOADING;
   private Optional<Leader> leader = Optional.empty();
   private Revision leaderStamp = new Revision(0);
+
+  /** When each node that led was seen to lead no more. */
+  private final Map<NodeId, Moment> ledUntil = new HashMap<>();
+
+  private Moment liveSince;
   private Revision position = new Revision(0);
   private Revision loadEpoch;
   private boolean leaderOnPages;
@@ -119,6 +125,24 @@
     return leader;
   }
 
+  /**
+   * Nodes that may have led at some time within this span, the present leader apart; empty if this
+   * copy has not followed the leader key without a gap for so long.
+   */
+  public Optional<Set<NodeId>> ledWithin(Span span, Moment now) {
+    if (state != State.LIVE || !now.past(liveSince, span)) {
+      return Optional.empty();
+    }
+    Set<NodeId> nodes = new HashSet<>();
+    ledUntil.forEach(
+        (node, until) -> {
+          if (!now.past(until, span)) {
+            nodes.add(node);
+          }
+        });
+    return Optional.of(nodes);
+  }
+
   public Optional<KnownJob> job(JobId id) {
     return Optional.ofNullable(jobs.get(id));
   }
@@ -304,6 +328,7 @@
       relaysOnPages.clear();
     } else {
       everLive = true;
+      liveSince = clock;
     }
   }
 
@@ -313,6 +338,7 @@
         return;
       }
       leaderStamp = stamp;
+      leader.ifPresent(last -> ledUntil.put(last.record().node(), clock));
       leader =
           value
               .filter(StoredValue.LeaderRecord.class::isInstance)
