Names: the field's terms for our own words

Reign is a leader's term, coasting its lease grace, Door the connection limiter, Courier the command dispatcher, StateLine the request queue, Detour the forwarding of reports. Nothing else changes.

--- a/src/main/java/org/oakwalk/adapter/Door.java
+++ b/src/main/java/org/oakwalk/adapter/ConnectionLimiter.java
@@ -18,8 +18,8 @@
  * users beyond their part are asked to come anew for each request, and workers are sent to other
  * nodes, which carry their reports.
  */
-final class Door implements Connection.Listener {
-  private static final Logger LOG = LoggerFactory.getLogger(Door.class);
+final class ConnectionLimiter implements Connection.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(ConnectionLimiter.class);
   private static final long LOG_EVERY_NANOS = 10_000_000_000L;
 
   /** Whose connection it is, as its last request tells; in the order in which they give way. */
@@ -55,7 +55,7 @@
   private long shed;
   private long nextLog = System.nanoTime();
 
-  Door(Sockets sockets) {
+  ConnectionLimiter(Sockets sockets) {
     this.sockets = sockets;
     for (Guest guest : Guest.values()) {
       idle.put(guest, new LinkedHashMap<>());
--- a/src/main/java/org/oakwalk/adapter/Inbound.java
+++ b/src/main/java/org/oakwalk/adapter/Inbound.java
@@ -34,7 +34,7 @@
   private static final int MISDIRECTED = 421;
 
   private final Desk desk;
-  private final Optional<Door> door;
+  private final Optional<ConnectionLimiter> limiter;
   private volatile boolean complained;
 
   /** Takes events, each with the place where its answer goes. */
@@ -46,23 +46,26 @@
   /**
    * Takes what comes in.
    *
-   * @param door the front door; empty for what comes from the other controllers
+   * @param limiter that of the front door; empty for what comes from the other controllers
    */
-  Inbound(Desk desk, Optional<Door> door) {
+  Inbound(Desk desk, Optional<ConnectionLimiter> limiter) {
     this.desk = desk;
-    this.door = door;
+    this.limiter = limiter;
   }
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     String path = Request.getPathInContext(request);
     String method = request.getMethod();
-    Door.Guest guest = path.equals(WorkerCodec.REPORT_PATH) ? Door.Guest.WORKER : Door.Guest.USER;
+    ConnectionLimiter.Guest guest =
+        path.equals(WorkerCodec.REPORT_PATH)
+            ? ConnectionLimiter.Guest.WORKER
+            : ConnectionLimiter.Guest.USER;
     Optional<Stay> stay =
-        door.map(d -> new Stay(d, request.getConnectionMetaData().getConnection(), guest));
+        limiter.map(d -> new Stay(d, request.getConnectionMetaData().getConnection(), guest));
     stay.ifPresent(Stay::begin);
     Reply reply = new Reply(response, callback, stay);
-    if (door.isEmpty()) {
+    if (limiter.isEmpty()) {
       if (expect(path.equals(PeerCodec.PATH), "POST", method, reply)) {
         read(request, reply, LARGEST_PEER_BODY, body -> peer(body, reply));
       }
@@ -232,25 +235,26 @@
   }
 
   /** A request at the front door, from its coming until its answer is sent. */
-  private record Stay(Door door, Connection connection, Door.Guest guest) {
+  private record Stay(
+      ConnectionLimiter limiter, Connection connection, ConnectionLimiter.Guest guest) {
     void begin() {
-      door.asks(connection, guest);
+      limiter.asks(connection, guest);
     }
 
     void end() {
-      door.answered(connection);
+      limiter.answered(connection);
     }
 
     boolean asksToLeave() {
-      return door.asksToLeave(connection);
+      return limiter.asksToLeave(connection);
     }
 
     /** Whether the connection is closed after an answer with this status. */
     boolean closes(int status) {
-      if (guest == Door.Guest.WORKER && status != MISDIRECTED) {
-        door.stays(connection);
+      if (guest == ConnectionLimiter.Guest.WORKER && status != MISDIRECTED) {
+        limiter.stays(connection);
       }
-      return guest == Door.Guest.USER && door.closesAfterUsers();
+      return guest == ConnectionLimiter.Guest.USER && limiter.closesAfterUsers();
     }
   }
 
--- a/src/main/java/org/oakwalk/adapter/Listener.java
+++ b/src/main/java/org/oakwalk/adapter/Listener.java
@@ -38,7 +38,7 @@
   private final Server server;
   private final ServerConnector front;
   private final ServerConnector back;
-  private final Door door;
+  private final ConnectionLimiter limiter;
   private final Sink sink;
   private final Map<ExchangeId, Inbound.Reply> open = new HashMap<>();
   private final AtomicInteger openCount = new AtomicInteger();
@@ -57,11 +57,11 @@
     server.setStopTimeout(0);
     front = connector(serve, "front");
     back = connector(peers, PEERS);
-    door = new Door(sockets);
-    front.addBean(door);
+    limiter = new ConnectionLimiter(sockets);
+    front.addBean(limiter);
     server.addConnector(front);
     server.addConnector(back);
-    Inbound inFront = new Inbound(this::offer, Optional.of(door));
+    Inbound inFront = new Inbound(this::offer, Optional.of(limiter));
     Inbound inBack = new Inbound(this::offer, Optional.empty());
     server.setHandler(
         new Handler.Abstract.NonBlocking() {
--- a/src/main/java/org/oakwalk/adapter/Outside.java
+++ b/src/main/java/org/oakwalk/adapter/Outside.java
@@ -10,7 +10,7 @@
 import org.oakwalk.core.Settings;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Request;
-import org.oakwalk.core.store.StateLine;
+import org.oakwalk.core.store.RequestQueue;
 
 /**
  * Everything this node calls: the state service and the cloud each within a budget of its own, the
@@ -39,7 +39,7 @@
   private final HttpCaller caller;
   private final Addresses addresses;
   private final Later later;
-  private final StateLine state;
+  private final RequestQueue state;
   private final RateBudget cloud;
   private final List<Waiting> cloudQueue = new ArrayList<>();
   private final Deque<Waiting> commandQueue = new ArrayDeque<>();
@@ -58,7 +58,7 @@
     this.caller = caller;
     this.addresses = addresses;
     this.later = later;
-    state = new StateLine(settings, now, this::sendState);
+    state = new RequestQueue(settings, now, this::sendState);
     double cps = settings.cloud().requestsPerSecond() * 0.6;
     cloud = new RateBudget(cps, Math.max(2, cps), now);
   }
--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -8,10 +8,10 @@
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.Admission;
 import org.oakwalk.core.job.UserDesk;
-import org.oakwalk.core.leadership.Detour;
 import org.oakwalk.core.leadership.Leadership;
 import org.oakwalk.core.leadership.Lodging;
 import org.oakwalk.core.leadership.Relay;
+import org.oakwalk.core.leadership.ReportForwarding;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
@@ -33,7 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final Span DIGEST_EVERY = Span.millis(1000);
   private static final Span SUMMARY_EVERY = Span.seconds(10);
-  private static final Span COAST_MARGIN = Span.seconds(2);
+  private static final Span GRACE_MARGIN = Span.seconds(2);
   private static final Span READY_WITHOUT_CONTACT = Span.seconds(6);
   private static final Span DIGEST_COUNTS_FOR = Span.millis(2500);
   private static final Span SOON = Span.seconds(1);
@@ -49,11 +49,11 @@
   private final StoreView view;
   private final Leadership leadership;
   private final Relay relay;
-  private final Detour detour = new Detour();
+  private final ReportForwarding forwarding = new ReportForwarding();
   private final Lodging lodging = new Lodging();
   private final UserDesk desk;
   private final Catalogue catalogue;
-  private Optional<Reign> reign = Optional.empty();
+  private Optional<LeaderTerm> term = Optional.empty();
   private Moment nextDigest = new Moment(Long.MIN_VALUE / 2);
   private Optional<NodeId> digestFrom = Optional.empty();
   private Moment digested = new Moment(Long.MIN_VALUE / 2);
@@ -73,8 +73,8 @@
     this.settings = settings;
     this.view =
         new StoreView(outbox, settings.state().requestsPerSecond(), settings.peers().size() + 1);
-    Span coastLimit =
-        settings.workers().cancel().minus(settings.workers().lease()).minus(COAST_MARGIN);
+    Span graceLimit =
+        settings.workers().cancel().minus(settings.workers().lease()).minus(GRACE_MARGIN);
     this.leadership =
         new Leadership(
             outbox,
@@ -82,29 +82,29 @@
             settings.node(),
             settings.zone(),
             incarnation,
-            coastLimit,
+            graceLimit,
             new Leadership.Listener() {
               @Override
               public void rises(Token token, Moment at) {
                 view.leads(true);
-                reign =
+                term =
                     Optional.of(
-                        new Reign(
+                        new LeaderTerm(
                             token,
                             settings,
                             policy,
                             outbox,
                             view,
-                            coastLimit,
+                            graceLimit,
                             seen -> leadership().tokenSeen(seen, now),
                             at));
-                reign.get().suspected(suspects);
+                term.get().suspected(suspects);
               }
 
               @Override
               public void falls(Token token, Moment at) {
                 view.leads(false);
-                reign = Optional.empty();
+                term = Optional.empty();
               }
             });
     this.relay = new Relay(outbox, view, settings);
@@ -124,14 +124,14 @@
 
           @Override
           public void jobChanged(KnownJob job, Moment at) {
-            reign.ifPresent(r -> r.jobChanged(job, at));
+            term.ifPresent(r -> r.jobChanged(job, at));
           }
         });
   }
 
   /** Whether this node holds a token that it has not seen fall. */
   public boolean leads() {
-    return leadership.reigning();
+    return leadership.holdsToken();
   }
 
   private Leadership leadership() {
@@ -145,7 +145,7 @@
     if (handled.isPresent() && now.past(handled.get(), STOOD_STILL)) {
       LOG.info("stood still for {}", now.since(handled.get()));
       awake = now;
-      reign.ifPresent(r -> r.stoodStill(now));
+      term.ifPresent(r -> r.stoodStill(now));
     }
     handled = Optional.of(now);
     view.clock(now);
@@ -173,18 +173,18 @@
   /** A worker reports: to the leader itself, or to a follower that may have to stand in. */
   private void worker(Event.WorkerReports reports) {
     Report report = reports.report();
-    if (reign.isPresent()) {
+    if (term.isPresent()) {
       Optional<NodeId> host =
           reports.crowded()
                   && leadership.mayAnswer(now)
-                  && report.token().compareTo(reign.get().token()) <= 0
+                  && report.token().compareTo(term.get().token()) <= 0
               ? lodging.host(report.machine(), now)
               : Optional.empty();
       outbox.respond(
           reports.exchange(),
           host.isPresent() ? new Response.Elsewhere(host) : report(report, false));
-    } else if (detour.carries(report, now)) {
-      carry(reports, detour.leader(now).orElseThrow());
+    } else if (forwarding.carries(report, now)) {
+      carry(reports, forwarding.leader(now).orElseThrow());
     } else {
       relay.answer(
           report,
@@ -214,21 +214,21 @@
   private void tick() {
     view.tick(now);
     leadership.tick(now);
-    relay.tick(leadership.reigning(), now);
-    catalogue.tick(leadership.reigning(), view.types(), now);
+    relay.tick(leadership.holdsToken(), now);
+    catalogue.tick(leadership.holdsToken(), view.types(), now);
     desk.types(catalogue.types());
-    if (reign.isPresent() && leadership.mayStepAside(now) && reign.get().blind(now)) {
+    if (term.isPresent() && leadership.mayStepAside(now) && term.get().blind(now)) {
       leadership.stepAside(now);
     }
-    reign.ifPresent(
+    term.ifPresent(
         r -> r.tick(catalogue.types(), leadership.mayAnswer(now) && informed(), now, wall));
-    if (reign.isPresent() && !nextDigest.isAfter(now)) {
+    if (term.isPresent() && !nextDigest.isAfter(now)) {
       nextDigest = now.plus(DIGEST_EVERY);
-      digest(reign.get());
+      digest(term.get());
     }
-    if (reign.isPresent() && !nextSummary.isAfter(now)) {
+    if (term.isPresent() && !nextSummary.isAfter(now)) {
       nextSummary = now.plus(SUMMARY_EVERY);
-      LOG.info("{}", reign.get().summary());
+      LOG.info("{}", term.get().summary());
     }
   }
 
@@ -241,7 +241,7 @@
     return !awake.isAfter(view.contact()) || now.past(awake, INFORMED_WITHIN);
   }
 
-  private void digest(Reign current) {
+  private void digest(LeaderTerm current) {
     Map<JobId, PeerMessage.Counts> counts = current.counts();
     desk.counts(counts);
     PeerMessage message =
@@ -254,8 +254,7 @@
             if (answer instanceof Answer.Told told
                 && told.message() instanceof PeerMessage.Acknowledged acknowledged) {
               lodging.heard(acknowledged.from(), now);
-              reign
-                  .filter(r -> r == current && acknowledged.settled())
+              term.filter(r -> r == current && acknowledged.settled())
                   .ifPresent(r -> r.peerSettled(acknowledged.from(), now));
             }
           });
@@ -263,18 +262,18 @@
   }
 
   private Response report(Report report, boolean cutOff) {
-    if (reign.isPresent() && report.token().compareTo(reign.get().token()) > 0) {
+    if (term.isPresent() && report.token().compareTo(term.get().token()) > 0) {
       leadership.tokenSeen(report.token(), now);
     }
-    if (reign.isPresent() && leadership.mayAnswer(now)) {
-      if (!reign.get().readsReports()) {
+    if (term.isPresent() && leadership.mayAnswer(now)) {
+      if (!term.get().readsReports()) {
         // The lease is renewed all the same, so what was withdrawn must end by this answer.
-        reign.get().answered(report.machine(), now);
-        return new Response.Orders(reign.get().token(), haltsOf(report));
+        term.get().answered(report.machine(), now);
+        return new Response.Orders(term.get().token(), haltsOf(report));
       }
-      Optional<List<Order>> orders = reign.get().report(report, cutOff, now);
+      Optional<List<Order>> orders = term.get().report(report, cutOff, now);
       return orders.isPresent()
-          ? new Response.Orders(reign.get().token(), orders.get())
+          ? new Response.Orders(term.get().token(), orders.get())
           : Response.unavailable("machine types not known yet", SOON);
     }
     return elsewhere();
@@ -286,7 +285,7 @@
    */
   private Response elsewhere() {
     return new Response.Elsewhere(
-        detour
+        forwarding
             .leader(now)
             .or(
                 () ->
@@ -356,9 +355,9 @@
       relay.heard(digest.token(), now);
       if (view.leader().filter(l -> l.token().compareTo(digest.token()) > 0).isEmpty()) {
         // Not one that was succeeded and does not know.
-        detour.heard(digest.from(), digest.token(), now);
+        forwarding.heard(digest.from(), digest.token(), now);
       }
-      if (reign.isEmpty()) {
+      if (term.isEmpty()) {
         desk.counts(digest.counts());
         suspects = digest.suspects();
         if (digest.serves()) {
@@ -369,7 +368,7 @@
       outbox.respond(
           says.exchange(),
           new Response.ToPeer(
-              new PeerMessage.Acknowledged(settings.node(), !leadership.reigning())));
+              new PeerMessage.Acknowledged(settings.node(), !leadership.holdsToken())));
     } else if (says.message() instanceof PeerMessage.Probe) {
       outbox.respond(
           says.exchange(),
--- a/src/main/java/org/oakwalk/core/Reign.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -17,7 +17,7 @@
 import org.oakwalk.core.drain.Mover;
 import org.oakwalk.core.drain.PlanKeeper;
 import org.oakwalk.core.drain.StopLedger;
-import org.oakwalk.core.fleet.Courier;
+import org.oakwalk.core.fleet.CommandDispatcher;
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
@@ -46,8 +46,8 @@
 import org.slf4j.LoggerFactory;
 
 /** All that a leader knows and does under one token; it ends with the token. */
-final class Reign implements Fleet.Listener {
-  private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
+final class LeaderTerm implements Fleet.Listener {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderTerm.class);
   private static final Span EVENT_ROUND_SPACING = Span.millis(100);
 
   private final Token token;
@@ -56,7 +56,7 @@
   private final JobBook jobs;
   private final RelayEnds relays;
   private final Fleet fleet;
-  private final Courier courier;
+  private final CommandDispatcher dispatcher;
   private final Registry registry;
   private final ResultWriter results;
   private final Recovery recovery;
@@ -80,13 +80,13 @@
   private final Moment rose;
   private Moment clock;
 
-  Reign(
+  LeaderTerm(
       Token token,
       Settings settings,
       Policy policy,
       Outbox outbox,
       StoreView view,
-      Span coastLimit,
+      Span graceLimit,
       Consumer<Token> higherToken,
       Moment now) {
     this.token = token;
@@ -100,8 +100,8 @@
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
     this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
-    this.courier =
-        new Courier(
+    this.dispatcher =
+        new CommandDispatcher(
             outbox,
             fleet,
             report -> {
@@ -120,8 +120,8 @@
             jobs,
             results,
             registry,
-            mayCoast(settings, view, coastLimit, now),
-            coastLimit,
+            mayHoldGrace(settings, view, graceLimit, now),
+            graceLimit,
             now);
     this.gate =
         new Gate(
@@ -189,12 +189,13 @@
 
   /**
    * Peers that may still answer workers under an older token: those whose key was seen to end
-   * within the time for which a leader may coast, or all if this node has not watched for so long.
+   * within the time for which a leader may be in its lease grace, or all if this node has not
+   * watched for so long.
    */
-  private static Set<NodeId> mayCoast(
-      Settings settings, StoreView view, Span coastLimit, Moment now) {
+  private static Set<NodeId> mayHoldGrace(
+      Settings settings, StoreView view, Span graceLimit, Moment now) {
     Set<NodeId> peers = new HashSet<>(settings.peers());
-    view.ledWithin(coastLimit.surelyPassed(), now).ifPresent(peers::retainAll);
+    view.ledWithin(graceLimit.surelyPassed(), now).ifPresent(peers::retainAll);
     return peers;
   }
 
@@ -230,7 +231,7 @@
   /** A worker was answered before its report could be made use of. */
   void answered(MachineId machine, Moment now) {
     if (!recovery.complete()) {
-      courier.answered(machine, now);
+      dispatcher.answered(machine, now);
     }
   }
 
@@ -295,7 +296,7 @@
       return;
     }
     fleet.lapse(now, recovery.lastForeignRenewal());
-    courier.push(now);
+    dispatcher.push(now);
     if (active) {
       relays.tick(now);
       registry.tick(now);
@@ -308,7 +309,7 @@
         round(now, wall);
       }
     }
-    courier.flush(now);
+    dispatcher.flush(now);
     jobs.sweep().forEach(job -> runTimes.forget(job.id()));
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/Courier.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -19,7 +19,7 @@
  * Sends orders straight to the workers, one command at a time to each. A command without an answer
  * may still be executed later: its runs stay open until the worker's session ends.
  */
-public final class Courier {
+public final class CommandDispatcher {
   private static final Span PUSH_EVERY = Span.millis(1000);
   private static final int MOST_ORDERS = 200;
 
@@ -38,7 +38,7 @@
   private final Map<MachineId, Moment> pushed = new HashMap<>();
   private final Map<MachineId, Moment> answered = new HashMap<>();
 
-  public Courier(Outbox outbox, Fleet fleet, Consumer<Report> reported) {
+  public CommandDispatcher(Outbox outbox, Fleet fleet, Consumer<Report> reported) {
     this.outbox = outbox;
     this.fleet = fleet;
     this.reported = reported;
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -29,7 +29,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The machines of one reign and what is on them. A placement leaves its machine only when it is
+ * The machines of one term and what is on them. A placement leaves its machine only when it is
  * certain that the attempt is not there and cannot start there any more.
  */
 public final class Fleet {
--- a/src/main/java/org/oakwalk/core/leadership/Leadership.java
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -41,7 +41,7 @@
     /** This node leads and renews its lease. */
     LEADING,
     /** This node led; the lease may be over, but the workers' leases are kept alive. */
-    COASTING,
+    LEASE_GRACE,
     /** As above, but out of contact for so long that workers must not be answered. */
     MUTED
   }
@@ -52,8 +52,8 @@
     LEGAL.put(State.FOLLOWING, EnumSet.of(State.GRANTING));
     LEGAL.put(State.GRANTING, EnumSet.of(State.FOLLOWING, State.CLAIMING));
     LEGAL.put(State.CLAIMING, EnumSet.of(State.FOLLOWING, State.LEADING));
-    LEGAL.put(State.LEADING, EnumSet.of(State.FOLLOWING, State.COASTING));
-    LEGAL.put(State.COASTING, EnumSet.of(State.FOLLOWING, State.LEADING, State.MUTED));
+    LEGAL.put(State.LEADING, EnumSet.of(State.FOLLOWING, State.LEASE_GRACE));
+    LEGAL.put(State.LEASE_GRACE, EnumSet.of(State.FOLLOWING, State.LEADING, State.MUTED));
     LEGAL.put(State.MUTED, EnumSet.of(State.FOLLOWING, State.LEADING));
   }
 
@@ -85,7 +85,7 @@
   private final NodeId node;
   private final String zone;
   private final String incarnation;
-  private final Span coastLimit;
+  private final Span graceLimit;
   private final Listener listener;
   private State state = State.FOLLOWING;
   private Token token;
@@ -102,14 +102,14 @@
       NodeId node,
       String zone,
       String incarnation,
-      Span coastLimit,
+      Span graceLimit,
       Listener listener) {
     this.outbox = outbox;
     this.view = view;
     this.node = node;
     this.zone = zone;
     this.incarnation = incarnation;
-    this.coastLimit = coastLimit;
+    this.graceLimit = graceLimit;
     this.listener = listener;
   }
 
@@ -119,20 +119,20 @@
 
   /** Whether workers may be answered under this node's token. */
   public boolean mayAnswer(Moment now) {
-    return (state == State.LEADING || state == State.COASTING)
-        && !now.past(view.contact(), coastLimit.surelyNotPassed());
+    return (state == State.LEADING || state == State.LEASE_GRACE)
+        && !now.past(view.contact(), graceLimit.surelyNotPassed());
   }
 
   /** Whether this node holds a token that has not been seen to fall. */
-  public boolean reigning() {
-    return state == State.LEADING || state == State.COASTING || state == State.MUTED;
+  public boolean holdsToken() {
+    return state == State.LEADING || state == State.LEASE_GRACE || state == State.MUTED;
   }
 
   public void tick(Moment now) {
     if (state == State.LEADING && now.past(leaseFrom, TTL.surelyNotPassed())) {
-      enter(State.COASTING);
+      enter(State.LEASE_GRACE);
     }
-    if (state == State.COASTING && now.past(view.contact(), coastLimit.surelyNotPassed())) {
+    if (state == State.LEASE_GRACE && now.past(view.contact(), graceLimit.surelyNotPassed())) {
       enter(State.MUTED);
     }
     if (calling || nextStep.isAfter(now)) {
@@ -150,7 +150,7 @@
       }
       case GRANTING -> {}
       case CLAIMING -> settleClaim(now);
-      case LEADING, COASTING, MUTED -> renew(now);
+      case LEADING, LEASE_GRACE, MUTED -> renew(now);
     }
   }
 
@@ -173,7 +173,7 @@
       } else if (leader.isPresent()) {
         giveUp();
       }
-    } else if (reigning() && !(mine && leader.get().token().equals(token))) {
+    } else if (holdsToken() && !(mine && leader.get().token().equals(token))) {
       fall(now);
     }
   }
@@ -198,7 +198,7 @@
     if (seen.compareTo(highest) > 0) {
       highest = seen;
     }
-    if (reigning() && seen.compareTo(token) > 0) {
+    if (holdsToken() && seen.compareTo(token) > 0) {
       LOG.info("token {} is above own token {}", seen, token);
       fall(now);
     }
@@ -295,7 +295,7 @@
         new Request.Renew(hold),
         answer -> {
           calling = false;
-          if (!reigning()) {
+          if (!holdsToken()) {
             return;
           }
           if (answer instanceof Answer.Ok) {
--- a/src/main/java/org/oakwalk/core/leadership/Lodging.java
+++ b/src/main/java/org/oakwalk/core/leadership/Lodging.java
@@ -11,9 +11,9 @@
 
 /**
  * Where a leader sends the workers for which it has no sockets: to followers that hear it, which
- * carry their reports ({@link Detour}). A follower sends each of them back now and then, so they
- * stay here again once there is room. Other than those that a follower carries because they can't
- * reach the leader, they can be reached by command.
+ * carry their reports ({@link ReportForwarding}). A follower sends each of them back now and then,
+ * so they stay here again once there is room. Other than those that a follower carries because they
+ * can't reach the leader, they can be reached by command.
  */
 public final class Lodging {
   private static final Span HEARD_WITHIN = Span.millis(2500);
--- a/src/main/java/org/oakwalk/core/leadership/Relay.java
+++ b/src/main/java/org/oakwalk/core/leadership/Relay.java
@@ -88,10 +88,10 @@
   }
 
   /** Keeps watch on whether the leader can be reached. */
-  public void tick(boolean reigning, Moment now) {
+  public void tick(boolean holdsToken, Moment now) {
     clock = now;
     Optional<StoreView.Leader> leader = remoteLeader();
-    if (reigning || leader.isEmpty() || !now.past(heard, DIGESTS_MISSING)) {
+    if (holdsToken || leader.isEmpty() || !now.past(heard, DIGESTS_MISSING)) {
       silent = false;
     } else if (worthwhile && !probing && !nextProbe.isAfter(now)) {
       probe(leader.get().record().node(), now);
--- a/src/main/java/org/oakwalk/core/leadership/Detour.java
+++ b/src/main/java/org/oakwalk/core/leadership/ReportForwarding.java
@@ -19,7 +19,7 @@
  * workers alone loses none of them. Now and then each worker is sent to the leader all the same, to
  * find out whether the way is free again.
  */
-public final class Detour {
+public final class ReportForwarding {
   /** What this node has found out about a worker's way to the leader. */
   public enum State {
     /** Its report was carried once; nothing is known yet. */
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -72,8 +72,8 @@
       JobBook jobs,
       ResultWriter results,
       Registry registry,
-      Set<NodeId> mayCoast,
-      Span coastLimit,
+      Set<NodeId> mayHoldGrace,
+      Span graceLimit,
       Moment rose) {
     this.outbox = outbox;
     this.fleet = fleet;
@@ -83,11 +83,12 @@
     this.rose = rose;
     this.clock = rose;
     this.entered.put(State.READING_RESULTS, rose);
-    this.unsettledPeers = new HashSet<>(mayCoast);
+    this.unsettledPeers = new HashSet<>(mayHoldGrace);
     // A follower that kept a zone's leases alive under an older token stops once its copy of the
     // store shows the change of leader.
     this.relaysEnd = rose.plus(StoreView.LAG.surelyPassed());
-    this.lastForeignRenewal = mayCoast.isEmpty() ? relaysEnd : rose.plus(coastLimit.surelyPassed());
+    this.lastForeignRenewal =
+        mayHoldGrace.isEmpty() ? relaysEnd : rose.plus(graceLimit.surelyPassed());
   }
 
   public State state() {
--- a/src/main/java/org/oakwalk/core/store/StateLine.java
+++ b/src/main/java/org/oakwalk/core/store/RequestQueue.java
@@ -17,7 +17,7 @@
  * reads apart from writes, which are limited on their own. What the service refuses as too much
  * waits here again, in its old place.
  */
-public final class StateLine {
+public final class RequestQueue {
   /** Longer than this nobody waits for an answer, or would rather ask another node. */
   private static final long LONGEST_WAIT_MILLIS = 2_500;
 
@@ -59,7 +59,7 @@
    * @param sender takes what is due, and answers each exactly once
    * @param now milliseconds of the steady clock
    */
-  public StateLine(
+  public RequestQueue(
       Settings settings, long now, BiConsumer<Request.State, Consumer<Answer>> sender) {
     Settings.StateLimits limits = settings.state();
     int nodes = settings.peers().size() + 1;
--- a/src/main/java/org/oakwalk/model/Draw.java
+++ b/src/main/java/org/oakwalk/model/Draw.java
@@ -13,7 +13,7 @@
 public final class Draw {
   private static final int LAST_TROUBLE_ENDS = 100;
 
-  /** A lease held up by coasting and relays, boots, and the work itself. */
+  /** A lease held up by lease grace and relays, boots, and the work itself. */
   private static final int BACK_AFTER = 110;
 
   /** Machines with accelerators in each zone at the beginning. */
--- a/src/test/java/org/oakwalk/adapter/DoorTest.java
+++ b/src/test/java/org/oakwalk/adapter/ConnectionLimiterTest.java
@@ -27,7 +27,7 @@
  * A front door on loopback that more come to than it has sockets for. The core is played by one
  * that sends crowded workers to another node, or keeps them if there is none.
  */
-class DoorTest {
+class ConnectionLimiterTest {
   private static final Sockets SOCKETS = new Sockets(200, 2);
 
   private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
--- a/src/test/java/org/oakwalk/core/store/QuestionsTest.java
+++ b/src/test/java/org/oakwalk/core/store/QuestionsTest.java
@@ -25,11 +25,11 @@
   /** A node's copy of the store with the line by which it reads. */
   private final class Node {
     final Outbox outbox = new Outbox();
-    final StateLine line;
+    final RequestQueue line;
     final StoreView view;
 
     Node(int number) {
-      line = new StateLine(LimitedService.settings(number), service.now, service::serve);
+      line = new RequestQueue(LimitedService.settings(number), service.now, service::serve);
       view = new StoreView(outbox, LimitedService.REQUESTS, LimitedService.NODES);
       view.listen(
           new StoreView.Listener() {
--- a/src/test/java/org/oakwalk/core/store/StateLineTest.java
+++ b/src/test/java/org/oakwalk/core/store/RequestQueueTest.java
@@ -13,17 +13,17 @@
 import org.oakwalk.core.port.Request;
 
 /** Several nodes that want more than the state service gives, in virtual time. */
-class StateLineTest {
+class RequestQueueTest {
   private static final int NODES = LimitedService.NODES;
   private static final double WRITES = LimitedService.WRITES;
 
   private final LimitedService service = new LimitedService();
-  private final List<StateLine> lines = new ArrayList<>();
+  private final List<RequestQueue> lines = new ArrayList<>();
   private final Map<Integer, Integer> written = new HashMap<>();
 
-  StateLineTest() {
+  RequestQueueTest() {
     for (int i = 0; i < NODES; i++) {
-      lines.add(new StateLine(LimitedService.settings(i), 0, service::serve));
+      lines.add(new RequestQueue(LimitedService.settings(i), 0, service::serve));
     }
   }
 
@@ -94,7 +94,7 @@
     long[] worst = new long[1];
     for (int round = 0; round < 40; round++) {
       run(service.now + 500);
-      for (StateLine line : lines) {
+      for (RequestQueue line : lines) {
         long begun = service.now;
         line.call(
             new Request.Renew(new HoldId(1)),
