A session with a held-up start of a withdrawn job is not kept alive for longer than cancel

Cause: a start sent by command can be held back between the leader and one machine while a follower carries that machine's reports, so its session lives on; where the cloud can't return it, the start is carried out whenever it arrives, also after the job's user was told of the withdrawal for cancel seconds.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -33,7 +33,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final Span DIGEST_EVERY = Span.millis(1000);
   private static final Span SUMMARY_EVERY = Span.seconds(10);
-  private static final Span GRACE_MARGIN = Span.seconds(2);
   private static final Span READY_WITHOUT_CONTACT = Span.seconds(6);
   private static final Span DIGEST_COUNTS_FOR = Span.millis(2500);
   private static final Span SOON = Span.seconds(1);
@@ -73,8 +72,7 @@
     this.settings = settings;
     this.view =
         new StoreView(outbox, settings.state().requestsPerSecond(), settings.peers().size() + 1);
-    Span graceLimit =
-        settings.workers().cancel().minus(settings.workers().lease()).minus(GRACE_MARGIN);
+    Span graceLimit = settings.workers().graceLimit();
     this.leadership =
         new Leadership(
             outbox,
@@ -274,7 +272,7 @@
       Optional<List<Order>> orders = term.get().report(report, cutOff, now);
       return orders.isPresent()
           ? new Response.Orders(term.get().token(), orders.get())
-          : Response.unavailable("machine types not known yet", SOON);
+          : Response.unavailable("no use can be made of the report", SOON);
     }
     return elsewhere();
   }
--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -239,7 +239,7 @@
   Optional<List<Order>> report(Report report, boolean carried, Moment now) {
     clock = now;
     Optional<Machine> machine = fleet.report(report, true, now);
-    if (machine.isEmpty()) {
+    if (machine.isEmpty() || fleet.mustLapse(machine.get(), now)) {
       return Optional.empty();
     }
     machine.get().carried(carried);
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -29,6 +29,7 @@
 
   /** The workers' timing. */
   public record Workers(Span report, Span lease, Span cancel) {
+    private static final Span GRACE_MARGIN = Span.seconds(2);
     private static final Span RELAY_MARGIN = Span.seconds(4);
     private static final double MISSED_REPORTS = 2.2;
 
@@ -37,6 +38,14 @@
       return report.times(MISSED_REPORTS);
     }
 
+    /**
+     * How long after a moment from which on a withdrawal may be unknown here, or its tasks may yet
+     * start, workers may be answered: by then their sessions end within {@code cancel} of it.
+     */
+    public Span graceLimit() {
+      return cancel.minus(lease).minus(GRACE_MARGIN);
+    }
+
     /**
      * How long followers may keep leases alive for a leader that workers can't reach. A start
      * command that a cut holds back is executed as long as its session lives: by then no user may
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -317,6 +317,13 @@
     machine.leftovers().clear();
   }
 
+  /**
+   * Whether this machine's lease must not be renewed, so that what is held up can't start there.
+   */
+  public boolean mustLapse(Machine machine, Moment now) {
+    return machine.mustLapse(now, timing.graceLimit().surelyNotPassed());
+  }
+
   /** Orders for a machine that has just reported by itself. */
   public List<Order> respond(Machine machine, Moment now) {
     machine.renewed(now);
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -452,6 +452,23 @@
     return openRuns;
   }
 
+  /**
+   * Whether its session has to end: a start was sent by command, may still be held up on the way,
+   * and its job has been withdrawn for so long. A session that others' reports keep alive would let
+   * it in whenever it arrives.
+   */
+  boolean mustLapse(Moment now, Span limit) {
+    for (Placement placement : placements.values()) {
+      Moment withdrawn = placement.job().withdrawnAfter();
+      if (withdrawn != null
+          && now.past(withdrawn, limit)
+          && openRuns.inCommand(new Try(placement.task(), placement.attempt()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether a run of this attempt may still be executed later. */
   boolean runOpen(Try attempt) {
     return openRuns.contains(attempt);
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -33,6 +33,11 @@
     inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
   }
 
+  /** Whether a command with this run was sent and has not been answered. */
+  boolean inCommand(Machine.Try attempt) {
+    return inCommand.containsKey(attempt);
+  }
+
   boolean contains(Machine.Try attempt) {
     return inResponse.contains(attempt) || inCommand.containsKey(attempt);
   }
--- a/src/main/java/org/oakwalk/core/job/Job.java
+++ b/src/main/java/org/oakwalk/core/job/Job.java
@@ -47,6 +47,7 @@
   private int errors;
   private Moment waitingSince;
   private Moment dirtySince;
+  private Moment withdrawnAfter;
   private final Consumer<Job> touched;
   private int rankedFrom = -1;
 
@@ -311,6 +312,16 @@
     enter(withdrawn ? State.WITHDRAWN : State.DONE);
   }
 
+  /** Its user was told of the withdrawal at this moment or later. */
+  void withdrawnAfter(Moment earliest) {
+    withdrawnAfter = earliest;
+  }
+
+  /** No user was told of a withdrawal before this; null if there is none that was seen coming. */
+  public Moment withdrawnAfter() {
+    return withdrawnAfter;
+  }
+
   /** The one place where the state changes. */
   private void enter(State next) {
     boolean legal =
--- a/src/main/java/org/oakwalk/core/job/JobBook.java
+++ b/src/main/java/org/oakwalk/core/job/JobBook.java
@@ -84,6 +84,10 @@
     }
     boolean withdrawn = known.phase() == JobRecord.Phase.WITHDRAWN;
     job.ended(withdrawn, known.stamp());
+    if (withdrawn) {
+      // What was stored before the last read began was known, and this was not.
+      job.withdrawnAfter(view.contact());
+    }
     return withdrawn ? Optional.of(job) : Optional.empty();
   }
 
