Model: late writes, late reports, deaf machines; open watches of a refused node wait

The scenario language could not say that a transaction without an answer is carried out after newer ones, that an old report comes again, or that a machine reports but hears nothing. And a watch that was open told a refused node what changed, which the protocol does not grant.

--- /dev/null
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -0,0 +1,53 @@
+package org.oakwalk.model;
+
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/** Plays the lines of a scenario that disturb what hosts send to each other. */
+final class Disturbances {
+  private final World world;
+  private final Hosts hosts;
+
+  Disturbances(World world, Hosts hosts) {
+    this.world = world;
+    this.hosts = hosts;
+  }
+
+  /** Plays a line of the form {@code at SECONDS ACTION ...}; false if it is none of these. */
+  boolean play(Words line) {
+    double seconds = line.number("for", 10);
+    switch (line.word(2)) {
+      case "cut" ->
+          world.network.cut(
+              hosts.group(line.word(3)), hosts.group(line.word(4)), seconds, line.has("hold"));
+      case "slownet" ->
+          world.network.slow(
+              hosts.group(line.word(3)),
+              hosts.group(line.word(4)),
+              seconds,
+              line.number("by", 0.5));
+      case "copies" ->
+          world.network.copies(
+              hosts.group(line.word(3)),
+              hosts.group(line.word(4)),
+              seconds,
+              line.number("after", 90),
+              line.has("runs"));
+      case "deaf" -> world.network.deafen(hosts.group(line.word(3)), seconds);
+      case "latereports" -> world.lateness.reports(hosts.group(line.word(3)), line);
+      case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Those whom a word means now, whatever becomes of them. */
+  private Predicate<String> named(String who) {
+    Set<String> names = new TreeSet<>();
+    hosts.nodes(who).forEach(node -> names.add(node.id.value()));
+    return names::contains;
+  }
+}
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -111,7 +111,8 @@
             && world.cloud.rented >= line.number("least", 0);
       }
       case "releases" -> {
-        return world.cloud.released <= line.number("most", 1e9);
+        return world.cloud.released <= line.number("most", 1e9)
+            && world.cloud.released >= line.number("least", 0);
       }
       case "starts" -> {
         return world.rules.totalStarts() >= line.number("least", 0)
--- a/src/main/java/org/oakwalk/model/Hosts.java
+++ b/src/main/java/org/oakwalk/model/Hosts.java
@@ -44,7 +44,9 @@
     return world.workers.get(new MachineId(name));
   }
 
-  /** Hosts by name, or: leader, followers, nodes, workers, state, zone:Z (all in a zone). */
+  /**
+   * Hosts by name, or: leader, leading, followers, nodes, workers, state, zone:Z (all in a zone).
+   */
   Predicate<String> group(String name) {
     if (name.startsWith("zone:")) {
       String zone = name.substring(5);
@@ -60,11 +62,12 @@
     Set<String> nodeNames = new TreeSet<>();
     switch (name) {
       case "leader", "followers" -> nodes(name).forEach(n -> nodeNames.add(n.id.value()));
+      case "leading" -> nodes(name).forEach(n -> nodeNames.add(n.id.value()));
       case "nodes" -> world.nodes.forEach(n -> nodeNames.add(n.id.value()));
       default -> {}
     }
     return switch (name) {
-      case "leader", "followers", "nodes" -> nodeNames::contains;
+      case "leader", "leading", "followers", "nodes" -> nodeNames::contains;
       case "workers" -> host -> world.workerAt(host).isPresent();
       case "everybody" -> host -> true;
       default -> name::equals;
--- a/src/main/java/org/oakwalk/model/Network.java
+++ b/src/main/java/org/oakwalk/model/Network.java
@@ -20,12 +20,15 @@
 
   private record Slow(Between hosts, long millis) {}
 
+  private record Deaf(Predicate<String> hosts, long end) {}
+
   private record Copies(Between hosts, long after, boolean runsToo) {}
 
   private final Timeline time;
   private final List<Cut> cuts = new ArrayList<>();
   private final List<Slow> slow = new ArrayList<>();
   private final List<Copies> copies = new ArrayList<>();
+  private final List<Deaf> deaf = new ArrayList<>();
 
   Network(Timeline time) {
     this.time = time;
@@ -59,6 +62,15 @@
     copies.add(new Copies(between(left, right, seconds), Math.round(after * 1000), runsToo));
   }
 
+  /** What is sent to these hosts from now on is lost, while what they send arrives. */
+  void deafen(Predicate<String> hosts, double seconds) {
+    deaf.add(new Deaf(hosts, time.now() + Math.round(seconds * 1000)));
+  }
+
+  private boolean deaf(String host) {
+    return deaf.stream().anyMatch(one -> one.end() > time.now() && one.hosts().test(host));
+  }
+
   boolean parted(String from, String to) {
     return cuts.stream().anyMatch(cut -> now(cut.hosts(), from, to));
   }
@@ -70,6 +82,9 @@
   /** Sends a message of which late copies are received in a way of their own. */
   void send(String from, String to, Runnable deliver, Consumer<Boolean> again) {
     sendAgain(from, to, again);
+    if (deaf(to)) {
+      return;
+    }
     long late = 0;
     for (Cut cut : cuts) {
       if (now(cut.hosts(), from, to)) {
@@ -92,7 +107,7 @@
         time.after(
             copy.after(),
             () -> {
-              if (!parted(from, to)) {
+              if (!parted(from, to) && !deaf(to)) {
                 again.accept(copy.runsToo());
               }
             });
--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -75,6 +75,12 @@
                                 answered(response, sent, orders);
                               }
                             })));
+    if (!world.network.parted(worker.address(), to.value())) {
+      world
+          .lateness
+          .ofReport(worker.address())
+          .ifPresent(late -> world.time.after(late, () -> world.node(to).reportAgain(report)));
+    }
     world.time.after(
         ANSWER_WAIT,
         () -> {
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -244,25 +244,6 @@
           world.cloud.outage(line.number("for", 10));
         }
       }
-      case "cut" ->
-          world.network.cut(
-              hosts.group(line.word(3)),
-              hosts.group(line.word(4)),
-              line.number("for", 10),
-              line.has("hold"));
-      case "slownet" ->
-          world.network.slow(
-              hosts.group(line.word(3)),
-              hosts.group(line.word(4)),
-              line.number("for", 10),
-              line.number("by", 0.5));
-      case "copies" ->
-          world.network.copies(
-              hosts.group(line.word(3)),
-              hosts.group(line.word(4)),
-              line.number("for", 10),
-              line.number("after", 90),
-              line.has("runs"));
       case "die" -> hosts.worker(line.word(3)).die();
       case "take" -> world.cloud.remove(new MachineId(line.word(3)));
       case "hang" -> hosts.worker(line.word(3)).hang(line.number("for", 10));
@@ -283,7 +264,11 @@
       case "roguetake" -> rogueTake(line);
       case "lie" -> lie(line);
       case "expect" -> expectations.check(line);
-      default -> throw new IllegalArgumentException("unknown action: " + line);
+      default -> {
+        if (!new Disturbances(world, hosts).play(line)) {
+          throw new IllegalArgumentException("unknown action: " + line);
+        }
+      }
     }
   }
 
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.oakwalk.core.Controller;
@@ -170,7 +171,7 @@
     }
   }
 
-  /** The state service answers 503 to this node alone. */
+  /** The state service answers 503 to this node alone, and its open watches wait meanwhile. */
   void refuse(double seconds) {
     refusedByStateUntil = world.time.now() + Math.round(seconds * 1000);
   }
@@ -241,10 +242,10 @@
           "state",
           back("state", then),
           reply -> {
-            if (world.time.now() < refusedByStateUntil) {
+            if (refusedByState()) {
               reply.accept(new Answer.Refused(503, "refused"));
             } else {
-              world.state.serve(state, reply);
+              serveState(state, reply);
             }
           });
     } else if (request instanceof Request.Cloud cloud) {
@@ -277,6 +278,21 @@
     }
   }
 
+  private boolean refusedByState() {
+    return world.time.now() < refusedByStateUntil;
+  }
+
+  /** Nobody is told what becomes of a transaction that is carried out late. */
+  private void serveState(Request.State request, Consumer<Answer> reply) {
+    OptionalLong late =
+        world.state.down() ? OptionalLong.empty() : world.lateness.ofWrite(id.value(), request);
+    if (late.isPresent()) {
+      world.time.after(late.getAsLong(), () -> world.state.serveLate((Request.Commit) request));
+    } else {
+      world.state.serve(request, reply, this::refusedByState);
+    }
+  }
+
   private Consumer<Answer> back(String from, Consumer<Answer> then) {
     return answer -> world.network.send(from, id.value(), () -> then.accept(answer));
   }
@@ -308,6 +324,13 @@
         });
   }
 
+  /** An old report comes once more; its answer goes to nobody. */
+  void reportAgain(Report report) {
+    if (world.time.now() >= fullUntil) {
+      take(exchange -> new Event.WorkerReports(exchange, report, false), response -> {});
+    }
+  }
+
   void ask(UserRequest request, Consumer<Response> then) {
     take(exchange -> new Event.UserAsks(exchange, request), then);
   }
--- a/src/main/java/org/oakwalk/model/SimState.java
+++ b/src/main/java/org/oakwalk/model/SimState.java
@@ -1,11 +1,15 @@
 package org.oakwalk.model;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.oakwalk.core.HoldId;
 import org.oakwalk.core.Revision;
@@ -30,13 +34,16 @@
     long end;
   }
 
-  private record Watcher(Request.Watch request, Consumer<Answer> then, long[] end) {}
+  /** An open watch. It waits while its node is refused, and then tells all that it has missed. */
+  private record Watcher(
+      Request.Watch request, Consumer<Answer> then, long end, BooleanSupplier refused) {}
 
   private final Timeline time;
   private final TreeMap<String, Kept> keys = new TreeMap<>();
   private final Map<Long, Hold> holds = new HashMap<>();
   private final List<News> history = new ArrayList<>();
   private final List<Watcher> watchers = new ArrayList<>();
+  private final Set<Watcher> behind = Collections.newSetFromMap(new IdentityHashMap<>());
   private long epoch;
   private long holdNumbers;
   private long downUntil;
@@ -118,7 +125,11 @@
           });
       ended.forEach(this::endHold);
       for (Watcher watcher : List.copyOf(watchers)) {
-        if (watcher.end()[0] <= time.now()) {
+        if (watcher.refused().getAsBoolean()) {
+          behind.add(watcher);
+        } else if (behind.remove(watcher) && tell(watcher)) {
+          continue;
+        } else if (watcher.end() <= time.now()) {
           watchers.remove(watcher);
           watcher.then().accept(new Answer.Changes(new Revision(epoch), List.of()));
         }
@@ -148,7 +159,22 @@
     history.add(new News(key, Optional.empty(), new Revision(epoch)));
   }
 
-  void serve(Request.State request, Consumer<Answer> then) {
+  /** A transaction is carried out late, to nobody's knowledge; an outage holds it up as well. */
+  void serveLate(Request.Commit commit) {
+    if (down()) {
+      time.after(downUntil - time.now(), () -> serveLate(commit));
+    } else {
+      requests++;
+      commit(commit);
+    }
+  }
+
+  /**
+   * Serves a request.
+   *
+   * @param refused whether the node that asks is refused at present, alone
+   */
+  void serve(Request.State request, Consumer<Answer> then, BooleanSupplier refused) {
     requests++;
     reads += request instanceof Request.Watch watch && watch.hold().millis() == 0 ? 1 : 0;
     if (down()) {
@@ -156,7 +182,7 @@
     } else if (request instanceof Request.ReadPage read) {
       then.accept(page(read));
     } else if (request instanceof Request.Watch watch) {
-      watch(watch, then);
+      watch(watch, then, refused);
     } else if (request instanceof Request.Commit commit) {
       then.accept(commit(commit));
     } else if (request instanceof Request.Grant grant) {
@@ -195,12 +221,12 @@
     return new Answer.Page(entries, false, new Revision(epoch));
   }
 
-  private void watch(Request.Watch watch, Consumer<Answer> then) {
+  private void watch(Request.Watch watch, Consumer<Answer> then, BooleanSupplier refused) {
     List<News> news = since(watch);
     if (!news.isEmpty() || watch.hold().millis() == 0) {
       then.accept(new Answer.Changes(new Revision(epoch), news));
     } else {
-      watchers.add(new Watcher(watch, then, new long[] {time.now() + watch.hold().millis()}));
+      watchers.add(new Watcher(watch, then, time.now() + watch.hold().millis(), refused));
     }
   }
 
@@ -268,11 +294,23 @@
 
   private void wake() {
     for (Watcher watcher : List.copyOf(watchers)) {
-      List<News> news = since(watcher.request());
-      if (!news.isEmpty()) {
-        watchers.remove(watcher);
-        watcher.then().accept(new Answer.Changes(new Revision(epoch), news));
+      if (watcher.refused().getAsBoolean()) {
+        behind.add(watcher);
+      } else {
+        tell(watcher);
       }
     }
   }
+
+  /** Answers a watch if there is anything new for it. */
+  private boolean tell(Watcher watcher) {
+    List<News> news = since(watcher.request());
+    if (news.isEmpty()) {
+      return false;
+    }
+    watchers.remove(watcher);
+    behind.remove(watcher);
+    watcher.then().accept(new Answer.Changes(new Revision(epoch), news));
+    return true;
+  }
 }
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -12,20 +12,28 @@
   /** When the last one ends, in seconds; 0 if there is none. */
   static double end(List<Words> lines) {
     double end = 0;
+    double lease = 10;
+    for (Words line : lines) {
+      lease = line.word(0).equals("settings") ? line.number("lease", lease) : lease;
+    }
     for (Words line : lines) {
       if (line.word(0).equals("at") && !NONE.contains(line.word(2))) {
-        end = Math.max(end, line.number(1) + lasts(line, line.word(2)));
+        end = Math.max(end, line.number(1) + lasts(line, line.word(2), lease));
       } else if (line.word(0).equals("every") && line.repeats() && !NONE.contains(line.word(4))) {
-        end = Math.max(end, line.number(3) + lasts(line, line.word(4)));
+        end = Math.max(end, line.number(3) + lasts(line, line.word(4), lease));
       }
     }
     return end;
   }
 
-  private static double lasts(Words line, String action) {
+  private static double lasts(Words line, String action, double lease) {
     return switch (action) {
-      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang" -> line.number("for", 10);
+      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
+          line.number("for", 10);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
+      case "latewrites" -> line.number("for", 10) + line.number("after", Lateness.MOST_FOR_WRITES);
+      case "latereports" ->
+          line.number("for", 10) + line.number("after", Lateness.MOST_LEASES * lease);
       case "restart" ->
           (line.number("times", 1) - 1) * line.number("every", 1) + line.number("after", 0);
       case "notice" -> line.number("in", 10);
