Starts by command that come once more start nothing

A start by command that was carried out may come once more in its session, under the same token. Once its attempt had been cleared, the worker no longer knew it and started it again: beside another attempt elsewhere, after its job was cancelled, or beyond its team's limit. An ended attempt of a task that was started by command is now cleared only together with the start of the task's next attempt there, in one answer; else the worker keeps it until its session ends or a later leader shows its token. So that reports stay small, a machine gets 100 starts by command in a session; further ones come with answers, which workers drop when they are late.

--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -11,6 +11,7 @@
 import org.oakwalk.core.Report;
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.Request;
@@ -61,7 +62,9 @@
           if (placement.takeCommand()) {
             orders.add(Fleet.haltOrder(placement));
           }
-        } else if (machine.state() == Machine.State.UP && placement.takeCommand()) {
+        } else if (machine.state() == Machine.State.UP
+            && startsByCommand(machine, placement.task())
+            && placement.takeCommand()) {
           orders.add(new Order.Run(placement.task(), placement.attempt()));
         }
       }
@@ -71,6 +74,14 @@
     }
   }
 
+  /**
+   * Not beside an ended attempt, which has to be cleared in the same breath, and only so often in a
+   * session. What does not start by command starts with the answer to the next report.
+   */
+  private static boolean startsByCommand(Machine machine, TaskId task) {
+    return !machine.leftovers().remembers(task) && machine.openRuns().takesByCommand(task);
+  }
+
   /** A machine's report was answered under this token, whatever it is used for. */
   public void answered(MachineId machine, Moment now) {
     answered.put(machine, now);
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -342,7 +342,9 @@
 
   /**
    * Ended attempts that the worker may forget: their result is stored or needless, and no run of
-   * them can arrive any more, which would start them again.
+   * them can arrive any more, be it for the second time, which would start them again. If one can,
+   * the worker forgets the attempt only as it gets the task's next one, on account of which it
+   * refuses older ones.
    */
   private List<Order> clears(Machine machine) {
     List<Order> orders = new ArrayList<>();
@@ -351,13 +353,25 @@
         .uncleared()
         .forEach(
             (attempt, done) -> {
-              if ((!done || settled(attempt.task())) && !machine.runOpen(attempt)) {
+              if ((!machine.openRuns().mayRepeat(attempt.task()) || startsAnew(machine, attempt))
+                  && (!done || settled(attempt.task()))
+                  && !machine.runOpen(attempt)) {
                 orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
               }
             });
     return orders;
   }
 
+  /** Whether the answer that is being written starts another attempt at the task. */
+  private static boolean startsAnew(Machine machine, Machine.Try ended) {
+    Placement next = machine.placement(ended.task());
+    return next != null
+        && !next.attempt().equals(ended.attempt())
+        && next.state() == Placement.State.ORDERED
+        && !next.halting()
+        && machine.state() == Machine.State.UP;
+  }
+
   private boolean settled(TaskId task) {
     Optional<Job> job = jobs.find(task.job());
     if (job.isPresent() && job.get().open()) {
--- a/src/main/java/org/oakwalk/core/fleet/Leftovers.java
+++ b/src/main/java/org/oakwalk/core/fleet/Leftovers.java
@@ -1,21 +1,25 @@
 package org.oakwalk.core.fleet;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.job.Room;
 
 /** What a machine's last report showed that no placement stands for. */
 final class Leftovers {
   private final Map<Machine.Try, Boolean> uncleared = new LinkedHashMap<>();
+  private final Set<TaskId> unclearedTasks = new HashSet<>();
   private final List<Machine.Try> strays = new ArrayList<>();
   private Room strayRoom = Room.NONE;
 
   /** Begins to take over the pieces of a new report. */
   void clear() {
     uncleared.clear();
+    unclearedTasks.clear();
     strays.clear();
     strayRoom = Room.NONE;
   }
@@ -23,6 +27,7 @@
   /** An ended attempt is still reported; {@code done} tells whether it completed. */
   void uncleared(Machine.Try attempt, boolean done) {
     uncleared.put(attempt, done);
+    unclearedTasks.add(attempt.task());
   }
 
   Map<Machine.Try, Boolean> uncleared() {
@@ -30,8 +35,7 @@
   }
 
   boolean remembers(TaskId task) {
-    return !uncleared.isEmpty()
-        && uncleared.keySet().stream().anyMatch(attempt -> attempt.task().equals(task));
+    return unclearedTasks.contains(task);
   }
 
   /** A task that should not be here, and takes this room if that is known. */
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -433,9 +433,12 @@
     return leftovers;
   }
 
-  /** Whether an ended attempt at this task is still on the machine, so that a run is refused. */
+  /**
+   * Whether an ended attempt at this task is still on the machine, so that a run is refused. One
+   * that is kept only since its start may come once more gives way to the next attempt.
+   */
   public boolean remembers(TaskId task) {
-    return leftovers.remembers(task);
+    return leftovers.remembers(task) && !(openRuns.mayRepeat(task) && !openRuns.containsAny(task));
   }
 
   /** Whether a command is out and unanswered. */
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -4,13 +4,28 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.oakwalk.core.TaskId;
 
 /** Runs that were sent to a machine and may still be executed, by what carried them. */
 final class OpenRuns {
+  /**
+   * How many tasks may be started by command in one session; each stays in the machine's reports
+   * until that session ends. Further ones start with the answers to reports.
+   */
+  static final int MOST_BY_COMMAND = 100;
+
   private final Set<Machine.Try> inResponse = new HashSet<>();
   private final Map<Machine.Try, Integer> inCommand = new HashMap<>();
 
+  /**
+   * Tasks that were started by command in this session. Such a command may come once more at any
+   * time of the session, long after it was answered. It has no effect as long as the worker knows
+   * an attempt at the task, so the last one must not be cleared.
+   */
+  private final Set<TaskId> byCommand = new HashSet<>();
+
   void clear() {
+    byCommand.clear();
     inCommand.clear();
     inResponse.clear();
   }
@@ -25,6 +40,7 @@
   }
 
   void sentByCommand(Machine.Try attempt) {
+    byCommand.add(attempt.task());
     inCommand.merge(attempt, 1, Integer::sum);
   }
 
@@ -33,6 +49,22 @@
     inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
   }
 
+  /** Whether this task may be started by command. */
+  boolean takesByCommand(TaskId task) {
+    return byCommand.size() < MOST_BY_COMMAND || byCommand.contains(task);
+  }
+
+  /** Whether a command that starts this task may come once more. */
+  boolean mayRepeat(TaskId task) {
+    return byCommand.contains(task);
+  }
+
+  /** Whether a run of any attempt at this task may still be executed for the first time. */
+  boolean containsAny(TaskId task) {
+    return inResponse.stream().anyMatch(attempt -> attempt.task().equals(task))
+        || inCommand.keySet().stream().anyMatch(attempt -> attempt.task().equals(task));
+  }
+
   boolean contains(Machine.Try attempt) {
     return inResponse.contains(attempt) || inCommand.containsKey(attempt);
   }
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -198,7 +198,9 @@
   private void foreign(Machine machine, Report.Piece piece, Moment now) {
     Machine.Try attempt = new Machine.Try(piece.task(), piece.attempt());
     int index = piece.task().index();
-    Optional<Job> found = jobs.findOrLoad(piece.task().job(), now);
+    // What has ended says nothing new of a job that is over, which may be listed for long.
+    Optional<Job> found =
+        piece.ended() ? jobs.find(piece.task().job()) : jobs.findOrLoad(piece.task().job(), now);
     if (found.isEmpty() || index >= found.get().spec().tasks()) {
       if (piece.ended()) {
         machine.leftovers().uncleared(attempt, piece.cause() == Report.Cause.DONE);
