A token that nobody was granted is set aside: no leader falls for it

One worker that reports a token from the future made each leader fall, and kept every node from claiming, for ever. A token shown by a worker now makes a leader fall only if the store can't be asked and could have come that far; else a read decides, and the worker stays unanswered until its machine is lost. A digest with such a token is refused.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -58,6 +58,7 @@
   private Optional<NodeId> digestFrom = Optional.empty();
   private Moment digested = new Moment(Long.MIN_VALUE / 2);
   private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
+  private long strangeDigests;
   private Optional<Moment> handled = Optional.empty();
   private Set<JobId> suspects = Set.of();
   private Moment awake = new Moment(Long.MIN_VALUE / 2);
@@ -96,7 +97,7 @@
                             outbox,
                             view,
                             graceLimit,
-                            seen -> leadership().tokenSeen(seen, now),
+                            seen -> leadership().shownByWorker(seen, now),
                             at));
                 term.get().suspected(suspects);
               }
@@ -263,7 +264,10 @@
 
   private Response report(Report report, boolean cutOff) {
     if (term.isPresent() && report.token().compareTo(term.get().token()) > 0) {
-      leadership.tokenSeen(report.token(), now);
+      // Whoever was granted it, this worker drops what is said under this node's token. If nobody
+      // was, it stays silent for this leader, and its machine is lost like others that are.
+      leadership.shownByWorker(report.token(), now);
+      return elsewhere();
     }
     if (term.isPresent() && leadership.mayAnswer(now)) {
       if (!term.get().readsReports()) {
@@ -350,7 +354,13 @@
   }
 
   private void peer(Event.PeerSays says) {
-    if (says.message() instanceof PeerMessage.Digest digest) {
+    if (says.message() instanceof PeerMessage.Digest digest && view.beyond(digest.token(), now)) {
+      // Taken for true it would keep this node from leading, and from hearing who does.
+      if (strangeDigests++ == 0) {
+        LOG.error("digest of {}: nobody was granted token {}", digest.from(), digest.token());
+      }
+      outbox.respond(says.exchange(), Response.refusal(400, "no such token"));
+    } else if (says.message() instanceof PeerMessage.Digest digest) {
       leadership.tokenSeen(digest.token(), now);
       relay.heard(digest.token(), now);
       if (view.leader().filter(l -> l.token().compareTo(digest.token()) > 0).isEmpty()) {
--- a/src/main/java/org/oakwalk/core/leadership/Leadership.java
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -96,6 +96,12 @@
   private Moment nextStep = new Moment(Long.MIN_VALUE / 2);
   private boolean calling;
 
+  /** Whether a read is under way that tells whether a token shown by a worker was granted. */
+  private boolean verifying;
+
+  /** The last token that a worker showed and nobody was granted. */
+  private Token setAside;
+
   public Leadership(
       Outbox outbox,
       StoreView view,
@@ -159,7 +165,7 @@
     Optional<StoreView.Leader> leader = view.leader();
     boolean mine = leader.isPresent() && leader.get().record().incarnation().equals(incarnation);
     if (state == State.CLAIMING) {
-      if (mine && highest.compareTo(leader.get().token()) > 0) {
+      if (mine && highest.compareTo(leader.get().token()) > 0 && !view.beyond(highest, now)) {
         // Somebody else leads by now, and was told that nothing older goes out from here.
         LOG.info("claim of token {} is seen after token {}", leader.get().token(), highest);
         giveUp();
@@ -191,8 +197,52 @@
   }
 
   /**
-   * Somebody showed a token: if it is above this node's own, another node leads. From here on this
-   * node acts under no older one, also if it is yet to learn that a claim of its own was applied.
+   * A worker showed a token above this node's own. Either another node leads, or nobody was ever
+   * granted it: then falling for it would end this term, and each one after it, for as long as that
+   * worker lives. What the store says decides; whoever can't ask it falls, unless no store could
+   * have come that far.
+   */
+  public void shownByWorker(Token seen, Moment now) {
+    if (!holdsToken() || seen.compareTo(token) <= 0) {
+      return;
+    }
+    if (view.covers(seen) || view.beyond(seen, now)) {
+      // The copy would show who was granted it.
+      setAside(seen);
+    } else if (state != State.LEADING || !view.fresh(now)) {
+      LOG.info("token {} of a worker is above own token {}", seen, token);
+      fall(now);
+    } else if (!verifying) {
+      Token own = token;
+      verifying = true;
+      view.catchUp(
+          now,
+          known -> {
+            verifying = false;
+            if (!holdsToken() || !token.equals(own)) {
+              return;
+            }
+            if (known) {
+              setAside(seen);
+            } else {
+              LOG.info("token {} of a worker is above own token {}", seen, token);
+              fall(now);
+            }
+          });
+    }
+  }
+
+  private void setAside(Token seen) {
+    if (!seen.equals(setAside)) {
+      setAside = seen;
+      LOG.error("a worker shows token {}, which nobody was granted; own token {}", seen, token);
+    }
+  }
+
+  /**
+   * A leader showed its token: if it is above this node's own, another node leads. From here on
+   * this node acts under no older one, also if it is yet to learn that a claim of its own was
+   * applied.
    */
   public void tokenSeen(Token seen, Moment now) {
     if (seen.compareTo(highest) > 0) {
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -68,7 +68,13 @@
   /** By how much a copy that is fresh may lag behind the store, with a margin. */
   public static final Span LAG = Span.millis(2000);
 
+  /** Bursts and clocks that differ; a rate that is a good deal higher than the settings say. */
+  private static final double FEW_SECONDS = 60;
+
+  private static final double AMPLE = 10;
+
   private final Outbox outbox;
+  private final double requestsPerSecond;
   private final Span spacing;
   private final Span leaderSpacing;
   private boolean leading;
@@ -121,6 +127,7 @@
    */
   public StoreView(Outbox outbox, double requestsPerSecond, int nodes) {
     this.outbox = outbox;
+    this.requestsPerSecond = requestsPerSecond;
     this.spacing =
         Span.millis(Math.max(10, Math.round(1000 * nodes / (requestsPerSecond * SHARE))));
     this.leaderSpacing = Span.millis(Math.max(1, Math.round(4000 / requestsPerSecond)));
@@ -230,6 +237,20 @@
     return contact;
   }
 
+  /** Whether this copy holds everything that was stored up to the revision of this token. */
+  public boolean covers(Token token) {
+    return position.value() >= token.value();
+  }
+
+  /**
+   * Whether nobody can have been granted this token yet: each change is a request, and the service
+   * takes no more of them in the time since this copy was last confirmed.
+   */
+  public boolean beyond(Token token, Moment now) {
+    double most = (now.since(contact).asSeconds() + FEW_SECONDS) * requestsPerSecond * AMPLE;
+    return state == State.LIVE && token.value() - position.value() > most;
+  }
+
   /** Keeps the watch and the reads going. */
   public void tick(Moment now) {
     clock = now;
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -271,6 +271,15 @@
       case "slow" -> hosts.worker(line.word(3)).slow(line.number("factor", 3));
       case "failboots" -> world.cloud.failBoots((int) line.number(3), line.text("zone", ""));
       case "slowboots" -> world.cloud.slowBoots(line.number(3));
+      case "misled" ->
+          Forgery.mislead(hosts.worker(line.word(3)), Long.parseLong(line.text("baton", "0")));
+      case "forged" ->
+          Forgery.report(hosts.worker(line.word(3)), line, hosts.nodes(line.text("to", "all")));
+      case "forgeddigest" ->
+          Forgery.digest(
+              hosts.nodes(line.word(3)).get(0),
+              Long.parseLong(line.text("token", "0")),
+              hosts.nodes(line.text("to", "all")));
       case "forget" -> world.state.forget(line.word(3));
       case "damage" -> world.state.damage(line.word(3));
       case "limit" ->
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
+import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.port.Response;
 import org.oakwalk.core.port.UserRequest;
@@ -312,6 +313,11 @@
     take(exchange -> new Event.UserAsks(exchange, request), then);
   }
 
+  /** Another controller says something, or somebody in its name. */
+  void told(PeerMessage message) {
+    take(exchange -> new Event.PeerSays(exchange, message), response -> {});
+  }
+
   void health(Consumer<Response> then) {
     take(Event.HealthAsked::new, then);
   }
