Queue of store requests: the least urgent gives way when it is full

A flood of submissions that filled the queue had claims, renewals, reads and withdrawals refused unsent. Tests: RequestQueueTest, full lines (four failed before).

--- a/src/main/java/org/oakwalk/core/store/RequestQueue.java
+++ b/src/main/java/org/oakwalk/core/store/RequestQueue.java
@@ -1,6 +1,7 @@
 package org.oakwalk.core.store;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -22,7 +23,10 @@
   private static final long LONGEST_WAIT_MILLIS = 2_500;
 
   private static final long SWEEP_EVERY_MILLIS = 200;
+
+  /** So many wait at most, of reads and of writes. */
   private static final int LONGEST = 400;
+
   private static final int TOO_MANY = 429;
   private static final int LEAST_PAUSE_MILLIS = 20;
   private static final int MOST_PAUSE_MILLIS = 80;
@@ -79,11 +83,15 @@
 
   /** Takes a request; it is sent as soon as its turn comes and the rates allow. */
   public void call(Request.State request, long now, Consumer<Answer> then) {
-    if (reading.size() + writing.size() >= LONGEST) {
-      then.accept(new Answer.Refused(TOO_MANY, "queue is full"));
-      return;
+    PriorityQueue<Waiting> line = line(request);
+    line.add(new Waiting(request, ++numbers, now, then));
+    if (line.size() > LONGEST) {
+      // Whoever would be served last gives way: a flood of submissions must not keep out the few
+      // withdrawals, claims and renewals. Reads have a line of their own.
+      Waiting last = Collections.max(line, ORDER);
+      line.removeIf(waiting -> waiting == last);
+      last.then().accept(new Answer.Refused(TOO_MANY, "queue is full"));
     }
-    line(request).add(new Waiting(request, ++numbers, now, then));
     pump(now);
   }
 
--- a/src/test/java/org/oakwalk/core/store/RequestQueueTest.java
+++ b/src/test/java/org/oakwalk/core/store/RequestQueueTest.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.oakwalk.core.HoldId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.Span;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Request;
 
@@ -125,4 +127,90 @@
     assertThat(took[0]).isBetween(1L, 300L);
     assertThat(took[1]).isGreaterThan(2_000);
   }
+
+  /** More submissions wait than there is room for, on one node alone and on all. */
+  private long[] worstInAFullLine(int nodes, Request.Urgency urgency) {
+    for (int node = 0; node < nodes; node++) {
+      for (int i = 0; i < 500; i++) {
+        floods(node);
+      }
+    }
+    run(1_000);
+    long[] worst = new long[2];
+    for (int round = 0; round < 40; round++) {
+      run(service.now + 500);
+      for (int node = 0; node < nodes; node++) {
+        long begun = service.now;
+        lines
+            .get(node)
+            .call(
+                write(urgency),
+                service.now,
+                answer -> {
+                  worst[0] = Math.max(worst[0], service.now - begun);
+                  worst[1] += answer instanceof Answer.Committed ? 0 : 1;
+                });
+      }
+    }
+    run(service.now + 5_000);
+    return worst;
+  }
+
+  @Test
+  void withdrawalsGetThroughAFullLine() {
+    long[] worst = worstInAFullLine(NODES, Request.Urgency.WITHDRAWAL);
+    assertThat(worst[1]).as("refused").isZero();
+    assertThat(worst[0]).as("longest, ms").isLessThan(1_000);
+  }
+
+  @Test
+  void claimsGetThroughAFullLine() {
+    long[] worst = worstInAFullLine(1, Request.Urgency.LEADERSHIP);
+    assertThat(worst[1]).as("refused").isZero();
+    assertThat(worst[0]).as("longest, ms").isLessThan(300);
+  }
+
+  @Test
+  void readsAndRenewalsGetThroughAFullLineOfWrites() {
+    for (int i = 0; i < 500; i++) {
+      floods(0);
+    }
+    run(1_000);
+    long[] worst = new long[2];
+    List<Request.State> asked =
+        List.of(
+            new Request.Renew(new HoldId(1)),
+            new Request.Watch("k", Revision.NONE, Span.millis(0), Request.Urgency.ACCEPTANCE));
+    for (int round = 0; round < 80; round++) {
+      run(service.now + 250);
+      long begun = service.now;
+      lines
+          .get(0)
+          .call(
+              asked.get(round % 2),
+              service.now,
+              answer -> {
+                worst[0] = Math.max(worst[0], service.now - begun);
+                worst[1] += answer instanceof Answer.Refused ? 1 : 0;
+              });
+    }
+    run(service.now + 5_000);
+    assertThat(worst[1]).as("refused").isZero();
+    assertThat(worst[0]).as("longest, ms").isLessThan(1_000);
+  }
+
+  @Test
+  void whatWaitsStaysBoundedAndTheLeastUrgentGivesWay() {
+    int[] refused = new int[2];
+    for (int i = 0; i < 5_000; i++) {
+      lines.get(0).call(write(Request.Urgency.REST), 0, answer -> refused[0]++);
+    }
+    int kept = 5_000 - refused[0];
+    assertThat(kept).as("kept").isBetween(300, 500);
+    for (int i = 0; i < 100; i++) {
+      lines.get(0).call(write(Request.Urgency.WITHDRAWAL), 0, answer -> refused[1]++);
+    }
+    assertThat(refused[0]).isEqualTo(5_000 - kept + 100);
+    assertThat(refused[1]).isZero();
+  }
 }
