Machines that hear nothing; answers to old reports; starts that are lost and not wanted any more

A new leader that answered a machine's reports took its lease for renewed, though the machine took no answer: it stayed in doubt as long as it reported, and older jobs' tasks waited. A report under an older token shows that no answer was taken; once a lease has passed since an older leader may last have renewed, nothing older is left there. Such a machine, and one whose session ends though its reports were just answered, gets no tasks until it answers a command, shows the token, or its session outlives a lease.

A late copy of a report no longer counts as answered: it kept a machine from lapsing, and told how to reach it.

A start by command that was lost kept its room for as long as the session lived if its task was to be stopped.

--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -80,6 +80,9 @@
   private final Moment rose;
   private Moment clock;
 
+  /** When starts may be ordered, the time of day of the last tick; else nothing. */
+  private Optional<WallTime> placing = Optional.empty();
+
   LeaderTerm(
       Token token,
       Settings settings,
@@ -245,6 +248,10 @@
     machine.get().carried(carried);
     answered(report.machine(), now);
     evacuate(machine.get(), now);
+    if (machine.get().startsByAnswersOnly()) {
+      // What is placed after this answer would wait for the next one.
+      placing.ifPresent(wall -> round(now, wall));
+    }
     return Optional.of(fleet.respond(machine.get(), now));
   }
 
@@ -282,6 +289,7 @@
   /** Whether starts may be ordered: not while the token is in doubt for long. */
   void tick(Map<String, MachineType> known, boolean active, Moment now, WallTime wall) {
     clock = now;
+    placing = Optional.empty();
     tellRecovery(now);
     types = known;
     fleet.types(types);
@@ -306,6 +314,7 @@
       drainer.tick(recovery.complete(), now, wall);
       products.tick(types, recovery.complete(), now, wall);
       if (products.known()) {
+        placing = Optional.of(wall);
         round(now, wall);
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -87,14 +87,18 @@
     answered.put(machine, now);
   }
 
-  /** Shows the token to machines that have not confirmed it yet. */
+  /**
+   * Shows the token to machines that have not confirmed it yet, or that don't seem to hear; the
+   * answer shows that they do.
+   */
   public void push(Moment now) {
     int sent = 0;
     for (Machine machine : fleet.machines()) {
       if (sent == MOST_PUSHED) {
         return;
       }
-      if (machine.state() == Machine.State.UNCONFIRMED
+      boolean asked = machine.state() == Machine.State.UNCONFIRMED || !machine.hearing().hears();
+      if (asked
           && !machine.commanding()
           && !machine.address().isEmpty()
           && !within(pushed, PUSH_EVERY, machine, now)
@@ -129,6 +133,7 @@
             runs.forEach(machine.openRuns()::commandSettled);
           }
           if (answer instanceof Answer.Commanded commanded) {
+            machine.hearing().answered();
             reported.accept(commanded.report());
             if (!commanded.executed() && machine.state() == Machine.State.UNCONFIRMED) {
               // The session was a guess; the report told the right one.
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -36,6 +36,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final Span LAPSE_MARGIN = Span.millis(500);
 
+  /**
+   * How long before a task was placed its user may have been told of the withdrawal, by another
+   * controller, and how long an answer to a report may take; with some time to spare.
+   */
+  private static final Span START_MARGIN = Span.seconds(10);
+
   /** Why a task is stopped. */
   public enum Why {
     /** Its user has withdrawn the job. */
@@ -101,6 +107,9 @@
   private final Reconciler reconciler;
   private long attempts;
 
+  /** The last moment at which an older leader may have renewed a lease; null if not known yet. */
+  private Moment foreignRenewal;
+
   /** Asked for with every task that is placed, so it is kept until a machine's doubt changes. */
   private Room unconfirmed;
 
@@ -323,7 +332,13 @@
     List<Order> orders = new ArrayList<>(clears(machine));
     for (Placement placement : machine.placements()) {
       if (placement.halting()) {
-        orders.add(haltOrder(placement));
+        if (runLost(placement, now)) {
+          orders.add(new Order.Run(placement.task(), placement.attempt()));
+          machine.openRuns().sentInResponse(new Machine.Try(placement.task(), placement.attempt()));
+          orders.add(new Order.Halt(placement.task(), placement.attempt(), Span.millis(0)));
+        } else {
+          orders.add(haltOrder(placement));
+        }
       } else if (placement.state() == Placement.State.ORDERED
           && machine.state() == Machine.State.UP) {
         orders.add(new Order.Run(placement.task(), placement.attempt()));
@@ -336,6 +351,25 @@
     return orders;
   }
 
+  /**
+   * Whether a start by command had no answer, and its task is to be stopped. It may be executed any
+   * time in the session, which may last for days. So the worker is told to start it and, in the
+   * same answer, to stop it: then it knows the attempt, and the command has no effect when it
+   * comes. The task is held here until then, so it is nowhere else. Of a withdrawn job nothing may
+   * start so late that its user was told {@code cancel} ago.
+   */
+  private boolean runLost(Placement placement, Moment now) {
+    Machine machine = placement.machine();
+    boolean inTime =
+        placement.job().state() != Job.State.WITHDRAWN
+            || !now.past(placement.ordered(), timing.cancel().minus(START_MARGIN));
+    return placement.state() == Placement.State.ORDERED
+        && machine.state() == Machine.State.UP
+        && !machine.commanding()
+        && machine.runOpen(new Machine.Try(placement.task(), placement.attempt()))
+        && inTime;
+  }
+
   static Order haltOrder(Placement placement) {
     return new Order.Halt(placement.task(), placement.attempt(), placement.haltGrace());
   }
@@ -380,8 +414,24 @@
     return view.job(task.job()).map(known -> known.phase() != JobRecord.Phase.OPEN).orElse(true);
   }
 
+  /**
+   * Whether nothing that older leaders ordered can be on a machine that reports under an older
+   * token, or start there. It has taken no answer of this leader, or it would show the token: while
+   * it sends a report, none to an earlier one is under way. So the sessions that lived when an
+   * older leader may last have renewed leases are over a lease later, and what was ordered is void
+   * in later ones.
+   */
+  boolean nothingOlderLeft(Machine machine, Token reported) {
+    if (reported.compareTo(token) >= 0 || foreignRenewal == null) {
+      return false;
+    }
+    Moment renewed = foreignRenewal.isAfter(machine.known()) ? foreignRenewal : machine.known();
+    return view.contact().past(renewed, timing.lease().surelyPassed().plus(LAPSE_MARGIN));
+  }
+
   /** Declares lapsed what has surely lost its lease. */
   public void lapse(Moment now, Moment lastForeignRenewal) {
+    foreignRenewal = lastForeignRenewal;
     Span lease = timing.lease().surelyPassed().plus(LAPSE_MARGIN);
     for (Machine machine : machines.values()) {
       Moment renewed = machine.renewed();
--- /dev/null
+++ b/src/main/java/org/oakwalk/core/fleet/Hearing.java
@@ -0,0 +1,51 @@
+package org.oakwalk.core.fleet;
+
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Span;
+
+/**
+ * Whether a machine that reports also takes what it is told. One that does not gets no tasks: each
+ * would wait there until the machine's session ends, and the next one again.
+ */
+final class Hearing {
+  /** What a machine is taken to do. */
+  enum State {
+    /** Nothing speaks against it. */
+    HEARS,
+    /** It still reports an older leader's token, a lease after it was told this one's. */
+    NOT_THE_TOKEN,
+    /** Its session ended though reports from it had just been answered. */
+    NOT_THE_ANSWERS
+  }
+
+  private State state = State.HEARS;
+  private Moment since;
+
+  boolean hears() {
+    return state == State.HEARS;
+  }
+
+  void deaf(State why, Moment now) {
+    state = why;
+    since = now;
+  }
+
+  /** It has answered a command. */
+  void answered() {
+    state = State.HEARS;
+  }
+
+  /** It reports the leader's token. */
+  void showsToken() {
+    if (state == State.NOT_THE_TOKEN) {
+      state = State.HEARS;
+    }
+  }
+
+  /** It reports from the same session as before, which lives on only if it takes answers. */
+  void sessionLives(Span lease, Moment now) {
+    if (state == State.NOT_THE_ANSWERS && now.past(since, lease)) {
+      state = State.HEARS;
+    }
+  }
+}
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -88,6 +88,7 @@
   private final Leftovers leftovers = new Leftovers();
   private boolean commanding;
   private final OpenRuns openRuns = new OpenRuns();
+  private final Hearing hearing = new Hearing();
 
   Machine(
       MachineId id,
@@ -290,6 +291,7 @@
     return state == State.UP
         && (duty == Duty.IN_USE || duty.fillsUp())
         && session().isPresent()
+        && hearing.hears()
         && !now.past(heard, suspectAfter)
         && !blockedUntil.isAfter(now);
   }
@@ -387,9 +389,9 @@
   }
 
   /** Takes over a report's session and number; true if a new session has begun. */
-  boolean advance(SessionId reported, long number) {
+  boolean advance(SessionId reported, long number, boolean own) {
     boolean first = session().isEmpty();
-    boolean fresh = sessions.advance(reported, number);
+    boolean fresh = sessions.advance(reported, number, own);
     if (first || fresh) {
       openRuns.clear();
     }
@@ -441,6 +443,11 @@
     return leftovers.remembers(task) && !(openRuns.mayRepeat(task) && !openRuns.containsAny(task));
   }
 
+  /** Whether as many starts as may be have come by command in this session. */
+  public boolean startsByAnswersOnly() {
+    return openRuns.full();
+  }
+
   /** Whether a command is out and unanswered. */
   boolean commanding() {
     return commanding;
@@ -450,6 +457,11 @@
     commanding = on;
   }
 
+  /** Whether it takes what it is told. */
+  Hearing hearing() {
+    return hearing;
+  }
+
   /** Runs that may still be executed later. */
   OpenRuns openRuns() {
     return openRuns;
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -49,9 +49,13 @@
     inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
   }
 
+  boolean full() {
+    return byCommand.size() >= MOST_BY_COMMAND;
+  }
+
   /** Whether this task may be started by command. */
   boolean takesByCommand(TaskId task) {
-    return byCommand.size() < MOST_BY_COMMAND || byCommand.contains(task);
+    return !full() || byCommand.contains(task);
   }
 
   /** Whether a command that starts this task may come once more. */
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -17,6 +17,9 @@
 final class Reconciler {
   private static final Logger LOG = LoggerFactory.getLogger(Reconciler.class);
 
+  /** By how much less than a lease after the last answer a session may end, answers' way apart. */
+  private static final Span LATE = Span.seconds(5);
+
   private final Fleet fleet;
   private final JobBook jobs;
   private final Settings.Workers timing;
@@ -33,7 +36,8 @@
    * Takes over a report.
    *
    * @param own whether the worker sent it by itself, rather than as the answer to a command
-   * @return the machine, unless the report could not be used
+   * @return the machine, unless the report could not be used, or is so old that its worker takes no
+   *     answer
    */
   Optional<Machine> report(Report report, boolean own, Moment now) {
     if (fleet.isGone(report.machine())) {
@@ -59,12 +63,16 @@
       }
       LOG.info("machine {} reports unexpectedly", machine.id());
     }
+    if (own && machine.sessions().givenUp(report.session(), report.sequence())) {
+      return Optional.empty();
+    }
     if (machine.state() == Machine.State.GONE
         || machine.sessions().stale(report.session(), report.sequence())) {
       return Optional.of(machine);
     }
     boolean otherSession = machine.session().filter(report.session()::equals).isEmpty();
-    boolean freshSession = machine.advance(report.session(), report.sequence());
+    boolean freshSession = machine.advance(report.session(), report.sequence(), own);
+    listens(machine, report, freshSession, now);
     if (otherSession) {
       // A session begins with a lease of its own, whoever told of it. Counted from the last answer
       // in the session before, it would seem to be over while tasks that came by command run.
@@ -87,6 +95,11 @@
       notice(machine, report.notice().get(), now);
     }
     reconcile(machine, report, now);
+    if (machine.inDoubt() && own && fleet.nothingOlderLeft(machine, report.token())) {
+      LOG.info("machine {} does not hear, but what older leaders ordered is over", machine.id());
+      machine.hearing().deaf(Hearing.State.NOT_THE_TOKEN, now);
+      fleet.settled(machine);
+    }
     if (machine.inDoubt() && report.token().equals(fleet.token())) {
       // Until this report an older leader may have renewed its lease.
       machine.renewed(now);
@@ -110,6 +123,21 @@
     return Optional.of(machine);
   }
 
+  /** Whether the machine takes what it is told, as far as this report shows. */
+  private void listens(Machine machine, Report report, boolean freshSession, Moment now) {
+    if (report.token().equals(fleet.token())) {
+      machine.hearing().showsToken();
+    }
+    Span lease = timing.lease();
+    if (!freshSession) {
+      machine.hearing().sessionLives(lease.surelyPassed(), now);
+    } else if (!now.past(machine.renewed(), lease.minus(LATE))) {
+      // Had it taken the last answer, the session before would live on.
+      LOG.info("machine {} does not hear", machine.id());
+      machine.hearing().deaf(Hearing.State.NOT_THE_ANSWERS, now);
+    }
+  }
+
   private static void notice(Machine machine, Span left, Moment now) {
     Moment at = now.plus(left);
     if (machine.reclaimedAt() == null) {
--- a/src/main/java/org/oakwalk/core/fleet/Sessions.java
+++ b/src/main/java/org/oakwalk/core/fleet/Sessions.java
@@ -9,6 +9,7 @@
 final class Sessions {
   private Optional<SessionId> present = Optional.empty();
   private long sequence;
+  private long lastOwn;
   private SessionId oldest = SessionId.FIRST;
 
   Optional<SessionId> present() {
@@ -25,11 +26,27 @@
             || reported.equals(present.get()) && number <= sequence);
   }
 
+  /**
+   * Whether the worker surely takes no answer to this report any more, since it is from a former
+   * session, or the worker has sent another one by itself since: it has one under way at a time. An
+   * answer to it renews no lease.
+   */
+  boolean givenUp(SessionId reported, long number) {
+    return reported.compareTo(present.orElse(oldest)) < 0
+        || present.filter(reported::equals).isPresent() && number <= lastOwn;
+  }
+
   /** Takes over a report's session and number; true if a new session has begun. */
-  boolean advance(SessionId reported, long number) {
+  boolean advance(SessionId reported, long number, boolean own) {
     boolean fresh = present.isPresent() && !present.get().equals(reported);
+    boolean same = present.filter(reported::equals).isPresent();
     present = Optional.of(reported);
     sequence = number;
+    if (own) {
+      lastOwn = number;
+    } else if (!same) {
+      lastOwn = 0;
+    }
     return fresh;
   }
 
