Machines that hear nothing get no tasks and are not returned as not needed

A machine that lapsed and reports again gets tasks only once it has answered a command: one that reports but hears nothing got them each time, and they waited there for a lease. Empty for that reason, it was then taken for not needed. deaf-zone-and-leader-ends and deaf-machines-get-nothing fail without.

--- a/src/main/java/org/oakwalk/core/capacity/Surplus.java
+++ b/src/main/java/org/oakwalk/core/capacity/Surplus.java
@@ -56,11 +56,17 @@
     int left = surplus - letGo(type, surplus);
     List<Machine> candidates = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
-      if (machine.type().name().equals(type.name())
-          && machine.state() == Machine.State.UP
-          && machine.duty() == Duty.IN_USE
-          && now.past(machine.known(), policy.idle())
-          && !machine.holdsReplica()) {
+      if (!machine.type().name().equals(type.name())
+          || machine.state() != Machine.State.UP
+          || machine.duty() != Duty.IN_USE) {
+        continue;
+      }
+      if (!machine.hears()) {
+        // It is empty as it gets no tasks, not as there are none. It may be one of a whole zone,
+        // and
+        // those that hear have to do without it meanwhile.
+        left--;
+      } else if (now.past(machine.known(), policy.idle()) && !machine.holdsReplica()) {
         candidates.add(machine);
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -97,7 +97,9 @@
       if (sent == MOST_PUSHED) {
         return;
       }
-      boolean asked = machine.state() == Machine.State.UNCONFIRMED || !machine.hearing().hears();
+      boolean asked =
+          machine.state() == Machine.State.UNCONFIRMED
+              || machine.state() == Machine.State.UP && !machine.hearing().hears();
       if (asked
           && !machine.commanding()
           && !machine.address().isEmpty()
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -449,6 +449,8 @@
           machine.enter(Machine.State.LAPSED);
         }
         machine.endSession();
+        // It may report again without hearing; asking it by command tells at once.
+        machine.hearing().deaf(Hearing.State.NOT_THE_ANSWERS, now);
         settled(machine);
         loseAll(machine, now);
       }
--- a/src/main/java/org/oakwalk/core/fleet/Hearing.java
+++ b/src/main/java/org/oakwalk/core/fleet/Hearing.java
@@ -14,7 +14,7 @@
     HEARS,
     /** It still reports an older leader's token, a lease after it was told this one's. */
     NOT_THE_TOKEN,
-    /** Its session ended though reports from it had just been answered. */
+    /** Its session ended, or surely must have, though reports from it had been answered. */
     NOT_THE_ANSWERS
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -457,7 +457,11 @@
     commanding = on;
   }
 
-  /** Whether it takes what it is told. */
+  /** Whether it takes what it is told; one that reports need not. */
+  public boolean hears() {
+    return hearing.hears();
+  }
+
   Hearing hearing() {
     return hearing;
   }
