--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -54,9 +54,14 @@
     return inCommand.containsKey(attempt);
   }
 
+  /** Whether no more starts may come by command in this session. */
+  boolean full() {
+    return byCommand.size() >= MOST_BY_COMMAND;
+  }
+
   /** Whether this task may be started by command. */
   boolean takesByCommand(TaskId task) {
-    return byCommand.size() < MOST_BY_COMMAND || byCommand.contains(task);
+    return !full() || byCommand.contains(task);
   }
 
   /** Whether a command that starts this task may come once more. */
