--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -126,7 +126,7 @@
     this.gate =
         new Gate(
             policy.drains().budgetsOf(settings.teams().keySet()),
-            new StopLedger(outbox, guard, view.stops()),
+            new StopLedger(outbox, guard, view.stops(), view::stopsStamp),
             fleet,
             jobs,
             suspectAfter);
--- a/src/main/java/org/oakwalk/core/capacity/CatalogueKeeper.java
+++ b/src/main/java/org/oakwalk/core/capacity/CatalogueKeeper.java
@@ -48,7 +48,9 @@
     nextTry = now.plus(RETRY);
     outbox.call(
         new Request.Commit(
-            List.of(guard),
+            // Also on the record's version, or a write whose answer was lost could be applied after
+            // a newer one and bring older types back.
+            List.of(guard, new Guard(Keys.TYPES, view.typesStamp())),
             List.of(
                 new Change.Put(Keys.TYPES, new StoredValue.TypesRecord(types), Optional.empty())),
             Request.Urgency.REST),
--- a/src/main/java/org/oakwalk/core/drain/StopLedger.java
+++ b/src/main/java/org/oakwalk/core/drain/StopLedger.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.oakwalk.core.Moment;
+import org.oakwalk.core.Revision;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.port.Answer;
@@ -18,8 +20,8 @@
 
 /**
  * Stops that were granted within the last hour, in the store. They are written down a few at a time
- * before the first of them is made, under the guard of the leader key: so a leader that ends, or
- * wakes up late, has made no more stops than its successor knows of.
+ * before the first of them is made, under the guards of the leader key and of the record: so a
+ * leader that ends, or wakes up late, has made no more stops than its successor knows of.
  */
 public final class StopLedger {
   private static final long BUCKET_MILLIS = 300_000;
@@ -29,10 +31,15 @@
 
   private final Outbox outbox;
   private final Guard guard;
+  private final Supplier<Revision> seen;
   private final Map<String, Integer> granted = new HashMap<>();
   private final Map<String, Integer> asked = new HashMap<>();
   private final Map<String, Integer> inheritedOpen = new HashMap<>();
   private Map<String, StoredValue.Stops> stored;
+
+  /** How the record was last written or found. */
+  private Revision stamp;
+
   private boolean writing;
   private Moment nextTry = new Moment(Long.MIN_VALUE / 2);
 
@@ -40,10 +47,17 @@
    * A ledger that goes on from what older leaders have written.
    *
    * @param guard that this leader leads
+   * @param seen how the record stands as far as the copy of the store tells
    */
-  public StopLedger(Outbox outbox, Guard guard, Optional<StoredValue.StopsRecord> older) {
+  public StopLedger(
+      Outbox outbox,
+      Guard guard,
+      Optional<StoredValue.StopsRecord> older,
+      Supplier<Revision> seen) {
     this.outbox = outbox;
     this.guard = guard;
+    this.seen = seen;
+    this.stamp = seen.get();
     this.stored = older.map(StoredValue.StopsRecord::byBudget).orElse(Map.of());
     stored.forEach((budget, stops) -> inheritedOpen.put(budget, stops.open()));
   }
@@ -119,17 +133,23 @@
     nextTry = now.plus(RETRY);
     outbox.call(
         new Request.Commit(
-            List.of(guard),
+            List.of(guard, new Guard(Keys.STOPS, stamp)),
             List.of(
                 new Change.Put(Keys.STOPS, new StoredValue.StopsRecord(next), Optional.empty())),
             Request.Urgency.REST),
         answer -> {
           writing = false;
-          // If the answer was lost it may be stored all the same; what is written next holds all
-          // that was granted, and what was not granted is made by nobody.
-          if (answer instanceof Answer.Committed) {
+          // If the answer was lost it may be stored all the same, now or later; what is written
+          // next holds all that was granted, and what was not granted is made by nobody. Applied
+          // after that, it would take grants back that were made use of: so each is written only
+          // on condition that the record is as last seen.
+          if (answer instanceof Answer.Committed committed) {
+            stamp = committed.epoch();
             stored = next;
             more.forEach((name, grant) -> granted.merge(name, grant, Integer::sum));
+          } else if (answer instanceof Answer.Conflict) {
+            // The copy of the store tells; if it does not yet, the next try fails as well.
+            stamp = seen.get();
           }
         });
   }
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.ResultWriter;
 import org.oakwalk.core.port.Answer;
@@ -194,21 +195,29 @@
   }
 
   private void result(Entry entry) {
-    String[] parts = entry.key().substring(Keys.DONE.length()).split("/");
-    if (parts.length != 2 || !(entry.value() instanceof StoredValue.DoneChunk chunk)) {
+    Optional<Keys.Part> part = Keys.part(entry.key());
+    if (part.isEmpty()) {
+      LOG.error("{} is no name of a part of results", entry.key());
       return;
     }
-    JobId id = new JobId(parts[0]);
-    results.found(id, entry.key());
-    jobs.find(id)
-        .ifPresent(
-            job -> {
-              int from = Integer.parseInt(parts[1]) * DoneBits.CHUNK;
-              DoneBits.decode(chunk.bits()).stream()
-                  .map(bit -> from + bit)
-                  .filter(index -> index < job.spec().tasks())
-                  .forEach(job::restore);
-            });
+    JobId id = part.get().job();
+    results.found(id, entry.key(), entry.stamp());
+    jobs.find(id).ifPresent(job -> restore(job, part.get().chunk(), entry));
+  }
+
+  /** A part that can't be read holds nothing up: its tasks run again, unless workers tell. */
+  private static void restore(Job job, int chunk, Entry entry) {
+    try {
+      if (!(entry.value() instanceof StoredValue.DoneChunk done)) {
+        throw new IllegalArgumentException("not a part of results");
+      }
+      long from = (long) chunk * DoneBits.CHUNK;
+      DoneBits.decode(done.bits()).stream()
+          .filter(bit -> from + bit < job.spec().tasks())
+          .forEach(bit -> job.restore((int) from + bit));
+    } catch (IllegalArgumentException e) {
+      LOG.error("{} can't be read: {}", entry.key(), e.getMessage());
+    }
   }
 
   private void machine(Entry entry, Moment now) {
--- a/src/main/java/org/oakwalk/core/store/Keys.java
+++ b/src/main/java/org/oakwalk/core/store/Keys.java
@@ -1,5 +1,8 @@
 package org.oakwalk.core.store;
 
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Token;
 
@@ -32,6 +35,8 @@
   public static final String DONE = "oak/done/";
   public static final String MACHINES = "oak/machine/";
 
+  private static final Pattern PART = Pattern.compile(DONE + "([^/]+)/([0-9]{1,6})");
+
   private Keys() {}
 
   public static String relay(String zone) {
@@ -70,4 +75,15 @@
   public static String done(JobId id, int chunk) {
     return DONE + id.value() + "/" + chunk;
   }
+
+  /** Which part of which job's results stands under a key. */
+  public record Part(JobId job, int chunk) {}
+
+  /** Reads the name of a part of results; empty if it is none. */
+  public static Optional<Part> part(String key) {
+    Matcher matcher = PART.matcher(key);
+    return matcher.matches() && JobId.wellFormed(matcher.group(1))
+        ? Optional.of(new Part(new JobId(matcher.group(1)), Integer.parseInt(matcher.group(2))))
+        : Optional.empty();
+  }
 }
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -80,6 +80,8 @@
   private final StoredPlans plans = new StoredPlans();
   private final StoredProduct product = new StoredProduct();
   private Optional<StoredValue.StopsRecord> stops = Optional.empty();
+  private Revision stopsStamp = Revision.NONE;
+  private Revision typesStamp = Revision.NONE;
 
   private Map<String, MachineType> types = Map.of();
   private final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
@@ -200,11 +202,21 @@
     return stops;
   }
 
+  /** When they were stored; none if they are not. */
+  public Revision stopsStamp() {
+    return stopsStamp;
+  }
+
   /** The machine types as a leader last stored them; empty if none did. */
   public Map<String, MachineType> types() {
     return types;
   }
 
+  /** When the types were stored; none if they are not. */
+  public Revision typesStamp() {
+    return typesStamp;
+  }
+
   /** Whether there is a record of the job that can't be read. */
   public boolean unreadable(JobId id) {
     return unreadable.contains(Keys.job(id));
@@ -396,6 +408,11 @@
   }
 
   private void apply(String key, Optional<StoredValue> value, Revision stamp) {
+    if (key.equals(Keys.STOPS)) {
+      stopsStamp = value.isPresent() ? stamp : Revision.NONE;
+    } else if (key.equals(Keys.TYPES)) {
+      typesStamp = value.isPresent() ? stamp : Revision.NONE;
+    }
     if (key.equals(Keys.LEADER)) {
       if (stamp.compareTo(leaderStamp) <= 0) {
         return;
--- /dev/null
+++ b/src/test/java/org/oakwalk/core/drain/StopLedgerTest.java
@@ -0,0 +1,116 @@
+package org.oakwalk.core.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.store.Entry;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.LateStore;
+import org.oakwalk.core.store.StoredValue;
+
+/** Stops that were made stand in the store, also if an older ledger is stored late. */
+class StopLedgerTest {
+  private static final Budget ONE = new Budget("one", Optional.empty(), 5, Optional.of(40));
+  private static final Budget TWO = new Budget("two", Optional.empty(), 5, Optional.of(40));
+  private static final WallTime WALL = new WallTime(1_000_000_000);
+
+  private LateStore store = new LateStore();
+  private Outbox outbox;
+  private long now;
+
+  private Revision stamp() {
+    return store.find(Keys.STOPS).map(Entry::stamp).orElse(Revision.NONE);
+  }
+
+  private Optional<StoredValue.StopsRecord> record() {
+    return store.find(Keys.STOPS).map(entry -> (StoredValue.StopsRecord) entry.value());
+  }
+
+  private StopLedger leads() {
+    outbox = new Outbox();
+    Revision token =
+        store.put(Keys.LEADER, new StoredValue.LeaderRecord(new NodeId("n"), "a", "life"));
+    return new StopLedger(outbox, new Guard(Keys.LEADER, token), record(), this::stamp);
+  }
+
+  private void tick(StopLedger ledger, LateStore.Fate fate) {
+    now += 1100;
+    ledger.tick(List.of(ONE, TWO), Map.of(), new Moment(now), WALL);
+    store.serve(outbox, commit -> fate);
+  }
+
+  private int stored(Budget budget) {
+    return record()
+        .map(record -> record.byBudget().get(budget.name()))
+        .map(stops -> stops.byTime().values().stream().mapToInt(Integer::intValue).sum())
+        .orElse(0);
+  }
+
+  @Test
+  void anOlderLedgerThatIsLateTakesNoStopBack() {
+    StopLedger ledger = leads();
+    ledger.has(ONE, 1);
+    tick(ledger, LateStore.Fate.LATE);
+    ledger.has(TWO, 2);
+    tick(ledger, LateStore.Fate.SERVED);
+    assertThat(ledger.has(TWO, 2)).isTrue();
+    store.carryOut(0);
+    assertThat(stored(TWO)).isGreaterThanOrEqualTo(2);
+  }
+
+  /** It goes on after a write of which the answer was lost. */
+  @Test
+  void aLostAnswerHoldsNothingUpForLong() {
+    StopLedger ledger = leads();
+    ledger.has(ONE, 1);
+    tick(ledger, LateStore.Fate.ANSWER_LOST);
+    for (int i = 0; i < 3; i++) {
+      ledger.has(ONE, 1);
+      tick(ledger, LateStore.Fate.SERVED);
+    }
+    assertThat(ledger.has(ONE, 1)).isTrue();
+  }
+
+  /** No leader has made more stops than are stored, whatever is lost or late. */
+  @Test
+  void whatWasMadeIsStored() {
+    for (long seed = 1; seed <= 200; seed++) {
+      store = new LateStore();
+      UniformRandomProvider chance = RandomSource.XO_SHI_RO_256_PP.create(seed);
+      Map<Budget, Integer> made = new HashMap<>(Map.of(ONE, 0, TWO, 0));
+      StopLedger ledger = leads();
+      for (int step = 0; step < 100; step++) {
+        if (chance.nextInt(20) == 0) {
+          ledger = leads();
+        }
+        Budget budget = chance.nextBoolean() ? ONE : TWO;
+        if (ledger.has(budget, 1)) {
+          ledger.use(budget);
+          made.merge(budget, 1, Integer::sum);
+        }
+        LateStore.Fate[] fates = LateStore.Fate.values();
+        tick(ledger, fates[chance.nextInt(fates.length)]);
+        if (store.waiting() > 0 && chance.nextInt(3) == 0) {
+          store.carryOut(chance.nextInt(store.waiting()));
+        }
+        made.forEach(
+            (each, count) ->
+                assertThat(stored(each))
+                    .as("of %s, of which %d were made", each.name(), count)
+                    .isGreaterThanOrEqualTo(count));
+      }
+    }
+  }
+}
