--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -363,7 +363,10 @@
     if (job.isPresent() && job.get().open()) {
       return job.get().isStoredDone(task.index());
     }
-    return view.job(task.job()).map(known -> known.phase() != JobRecord.Phase.OPEN).orElse(true);
+    // Of a job whose record can't be read nobody knows whether it still asks for the result.
+    return view.job(task.job())
+        .map(known -> known.phase() != JobRecord.Phase.OPEN)
+        .orElse(!view.unreadable(task.job()));
   }
 
   /** Declares lapsed what has surely lost its lease. */
--- /dev/null
+++ b/src/test/java/org/oakwalk/core/job/Arrays.java
@@ -0,0 +1,42 @@
+package org.oakwalk.core.job;
+
+import java.util.Optional;
+import java.util.Set;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.WallTime;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.LateStore;
+
+/** Plain arrays of tasks for tests. */
+public final class Arrays {
+  private Arrays() {}
+
+  public static JobSpec spec(String id, int tasks) {
+    return new JobSpec(
+        new JobId(id),
+        "array",
+        "crew",
+        JobSpec.Shape.ARRAY,
+        Priority.NORMAL,
+        tasks,
+        new Room(1, 0, 1),
+        Set.of(),
+        Optional.empty(),
+        false,
+        false,
+        false,
+        "img",
+        0,
+        Span.seconds(1),
+        Span.seconds(0),
+        Span.seconds(0),
+        Optional.empty());
+  }
+
+  /** Stores the record of such a job. */
+  public static void store(LateStore store, String id, int tasks, JobRecord.Phase phase) {
+    store.put(Keys.job(new JobId(id)), new JobRecord(spec(id, tasks), phase, new WallTime(0)));
+  }
+}
--- a/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
+++ b/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
@@ -17,7 +16,6 @@
 import org.oakwalk.core.Settings;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.Token;
-import org.oakwalk.core.WallTime;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.store.DoneBits;
 import org.oakwalk.core.store.Entry;
@@ -103,34 +101,8 @@
 
   private final LateStore store = new LateStore();
 
-  private static JobSpec spec(String id, int tasks) {
-    return new JobSpec(
-        new JobId(id),
-        "array",
-        "crew",
-        JobSpec.Shape.ARRAY,
-        Priority.NORMAL,
-        tasks,
-        new Room(1, 0, 1),
-        Set.of(),
-        Optional.empty(),
-        false,
-        false,
-        false,
-        "img",
-        0,
-        Span.seconds(1),
-        Span.seconds(0),
-        Span.seconds(0),
-        Optional.empty());
-  }
-
   private void accept(String id, int tasks) {
-    write(id, tasks, JobRecord.Phase.OPEN);
-  }
-
-  private void write(String id, int tasks, JobRecord.Phase phase) {
-    store.put(Keys.job(new JobId(id)), new JobRecord(spec(id, tasks), phase, new WallTime(0)));
+    Arrays.store(store, id, tasks, JobRecord.Phase.OPEN);
   }
 
   private BitSet stored(String id) {
@@ -250,9 +222,7 @@
       sizes.forEach(
           (id, tasks) -> {
             forgotten.put(id, new BitSet());
-            own.put(
-                Keys.job(new JobId(id)),
-                new JobRecord(spec(id, tasks), JobRecord.Phase.OPEN, new WallTime(0)));
+            Arrays.store(own, id, tasks, JobRecord.Phase.OPEN);
           });
       leader = new Leader(own, ++leaders, new Moment(0));
     }
@@ -279,9 +249,7 @@
         }
         check();
         if (step == 60) {
-          own.put(
-              Keys.job(new JobId("j-5")),
-              new JobRecord(spec("j-5", 3), JobRecord.Phase.WITHDRAWN, new WallTime(0)));
+          Arrays.store(own, "j-5", 3, JobRecord.Phase.WITHDRAWN);
         }
       }
       for (int step = 0; step < 40; step++) {
--- a/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
+++ b/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
@@ -108,6 +108,42 @@
     assertThat(sent(Request.Commit.class)).isEmpty();
   }
 
+  /**
+   * A claim without an answer was given up, and is carried out while its lease lives and another
+   * claim of this node is out. It leads under that claim's token until its lease ends, which it
+   * does not renew; the other claim, carried out even later, is removed again.
+   */
+  @Test
+  void aClaimCarriedOutAfterItClaimedAgainCountsUntilItsLeaseEnds() {
+    claims();
+    now = now.plus(Span.millis(5100));
+    leadership.tick(now);
+    assertThat(leadership.state()).isEqualTo(Leadership.State.FOLLOWING);
+    assertThat(sent(Request.Drop.class)).isPresent();
+    shows(new News(Keys.TYPES, Optional.empty(), new Revision(11)));
+    shows(new News(Keys.TYPES, Optional.empty(), new Revision(11)));
+    now = now.plus(Span.millis(300));
+    view.clock(now);
+    view.tick(now);
+    shows(new News(Keys.TYPES, Optional.empty(), new Revision(12)));
+    leadership.tick(now);
+    outbox.answered(
+        sent(Request.Grant.class).orElseThrow().call(), new Answer.Granted(new HoldId(2)));
+    outbox.answered(sent(Request.Commit.class).orElseThrow().call(), new Answer.Nothing("lost"));
+    showsOwnKey(13);
+    assertThat(rises).containsExactly(new Token(13));
+    shows(new News(Keys.LEADER, Optional.empty(), new Revision(14)));
+    assertThat(leadership.holdsToken()).isFalse();
+    showsOwnKey(15);
+    assertThat(leadership.holdsToken()).as("it has given that claim up").isFalse();
+    now = now.plus(Span.millis(400));
+    out.removeIf(call -> call.request() instanceof Request.Commit);
+    leadership.tick(now);
+    Request.Commit removal = (Request.Commit) sent(Request.Commit.class).orElseThrow().request();
+    assertThat(removal.guards()).containsExactly(new Guard(Keys.LEADER, new Revision(15)));
+    assertThat(rises).hasSize(1);
+  }
+
   private void claims() {
     loads(List.of());
     leadership.tick(now);
--- /dev/null
+++ b/src/test/java/org/oakwalk/core/recovery/StoredResultsTest.java
@@ -0,0 +1,170 @@
+package org.oakwalk.core.recovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.Order;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.fleet.Fleet;
+import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.job.Arrays;
+import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.job.ResultWriter;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.JobRecord;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.KnownJob;
+import org.oakwalk.core.store.LateStore;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+
+/** What a new leader makes of stored results and records that can't be read. */
+class StoredResultsTest {
+  private static final MachineType TYPE =
+      new MachineType("m", new Room(4, 0, 16), 10, 1, 1, 1, Span.seconds(1), List.of("a"));
+  private static final Settings.StateLimits LIMITS = new Settings.StateLimits(100, 100, 4, 4);
+
+  private final Outbox outbox = new Outbox();
+  private final LateStore store = new LateStore();
+  private final StoreView view = new StoreView(outbox, 200, 1);
+  private final Moment now = new Moment(1000);
+  private JobBook jobs;
+  private Fleet fleet;
+  private Recovery recovery;
+
+  @BeforeEach
+  void store() {
+    Arrays.store(store, "j-1", 3, JobRecord.Phase.OPEN);
+    Arrays.store(store, "j-2", 3, JobRecord.Phase.OPEN);
+    store.put(Keys.job(new JobId("j-3")), new StoredValue.Unreadable("of a later form"));
+  }
+
+  private void rises() {
+    view.listen(
+        new StoreView.Listener() {
+          @Override
+          public void leaderChanged(Moment at) {}
+
+          @Override
+          public void jobChanged(KnownJob known, Moment at) {}
+        });
+    view.tick(now);
+    serve();
+    Token token = new Token(100);
+    Guard guard = new Guard(Keys.LEADER, new Revision(100));
+    jobs = new JobBook(view, token, now);
+    Settings.Workers timing =
+        new Settings.Workers(Span.seconds(1), Span.seconds(10), Span.seconds(30));
+    fleet =
+        new Fleet(
+            token,
+            jobs,
+            view,
+            null,
+            timing,
+            new Fleet.Listener() {
+              @Override
+              public void completed(Placement placement, Span ran) {}
+
+              @Override
+              public void placed(Job job, Moment at) {}
+
+              @Override
+              public void roomChanged() {}
+            });
+    fleet.types(java.util.Map.of("m", TYPE));
+    recovery =
+        new Recovery(
+            outbox,
+            fleet,
+            jobs,
+            new ResultWriter(outbox, jobs, view, guard, LIMITS),
+            new Registry(outbox, fleet, guard, LIMITS),
+            Set.of(),
+            Span.seconds(20),
+            now);
+    for (int i = 0; i < 5; i++) {
+      recovery.tick(java.util.Map.of("m", TYPE), now);
+      serve();
+    }
+  }
+
+  private void serve() {
+    store.serve(outbox, commit -> LateStore.Fate.SERVED);
+  }
+
+  /** Parts with names or bits that make no sense are left out, and hold up nothing. */
+  @Test
+  void partsThatMakeNoSenseAreLeftOut() {
+    store.put(Keys.DONE + "j-1/0", new StoredValue.DoneChunk("not hexadecimal"));
+    store.put(Keys.DONE + "j-1/99999999999", new StoredValue.DoneChunk("01"));
+    store.put(Keys.DONE + "j-1/262144", new StoredValue.DoneChunk("01"));
+    store.put(Keys.DONE + "nobody", new StoredValue.DoneChunk("01"));
+    store.put(Keys.DONE + "j-2/0", new StoredValue.DoneChunk("02"));
+    rises();
+    assertThat(recovery.complete()).isTrue();
+    assertThat(jobs.find(new JobId("j-1")).orElseThrow().doneCount()).isZero();
+    assertThat(jobs.find(new JobId("j-2")).orElseThrow().isStoredDone(1)).isTrue();
+  }
+
+  /**
+   * A worker reports completed tasks. It may forget those that are stored and those of jobs that
+   * are over or unknown; not those that are not stored, nor of a job whose record can't be read.
+   */
+  @Test
+  void workersForgetOnlyWhatIsStoredOrAskedForByNobody() {
+    store.put(Keys.DONE + "j-2/0", new StoredValue.DoneChunk("02"));
+    rises();
+    List<Report.Piece> pieces = new ArrayList<>();
+    for (String task : List.of("j-1/0", "j-2/1", "j-3/0", "j-4/0")) {
+      pieces.add(
+          new Report.Piece(
+              TaskId.parse(task).orElseThrow(),
+              new Attempt(7),
+              Report.PieceState.ENDED,
+              Report.Cause.DONE));
+    }
+    Machine machine =
+        fleet
+            .report(
+                new Report(
+                    new MachineId("host-000001"),
+                    "10.0.0.1:9000",
+                    "m",
+                    "a",
+                    false,
+                    new SessionId(1),
+                    1,
+                    new Token(50),
+                    Optional.empty(),
+                    pieces),
+                true,
+                now)
+            .orElseThrow();
+    assertThat(fleet.respond(machine, now))
+        .extracting(order -> order.task().toString())
+        .containsExactlyInAnyOrder("j-2/1", "j-4/0");
+    assertThat(fleet.respond(machine, now)).allMatch(Order.Clear.class::isInstance);
+  }
+}
