--- a/src/main/java/org/oakwalk/model/Nights.java
+++ b/src/main/java/org/oakwalk/model/Nights.java
@@ -107,7 +107,7 @@
       int done = done(spec) - begun;
       group.tasks += spec.tasks() - begun;
       group.done += done;
-      double run = world.runSeconds.get(spec.id());
+      double run = world.runSeconds(new TaskId(spec.id(), 0));
       group.seconds += run * (spec.tasks() - begun);
       group.secondsDone += run * done;
     }
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 import org.oakwalk.core.Attempt;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
@@ -284,6 +286,9 @@
 
   private void submit(Words line, JobId id, String shape) {
     String due = line.text("due", "");
+    double[] runs =
+        Stream.of(line.text("run", "5").split(",")).mapToDouble(Double::parseDouble).toArray();
+    double longest = DoubleStream.of(runs).max().orElseThrow();
     String types = line.text("types", "");
     JobSpec spec =
         new JobSpec(
@@ -301,7 +306,7 @@
             line.has("spot"),
             line.text("image", "img"),
             line.number("gb", 0),
-            Span.seconds(line.number("guess", line.number("run", 0))),
+            Span.seconds(line.number("guess", line.text("run", "").isEmpty() ? 0 : longest)),
             Span.seconds(line.number("saves", 0)),
             Span.seconds(line.number("save", 0)),
             due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
@@ -314,7 +319,7 @@
     if (line.has("fails")) {
       world.failing.add(id);
     }
-    world.runSeconds.put(id, line.number("run", 5));
+    world.run(id, runs);
     SimUser user = new SimUser(world, spec);
     world.users.put(id, user);
     user.submit();
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -33,7 +33,7 @@
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
-  final Map<JobId, Double> runSeconds = new HashMap<>();
+  private final Map<JobId, double[]> runs = new HashMap<>();
 
   /** Seconds of work that tasks have saved. */
   final Map<TaskId, Double> saved = new HashMap<>();
@@ -128,4 +128,15 @@
   Optional<SimNode> leader() {
     return nodes.stream().filter(SimNode::active).filter(SimNode::leads).findFirst();
   }
+
+  /** Sets how many seconds a job's tasks run, in the order of their numbers, and again. */
+  void run(JobId job, double... seconds) {
+    runs.put(job, seconds);
+  }
+
+  /** How many seconds a task runs. */
+  double runSeconds(TaskId task) {
+    double[] seconds = runs.get(task.job());
+    return seconds[task.index() % seconds.length];
+  }
 }
--- a/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
+++ b/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
@@ -122,9 +122,7 @@
     assertThat(sent(Request.Drop.class)).isPresent();
     shows(new News(Keys.TYPES, Optional.empty(), new Revision(11)));
     shows(new News(Keys.TYPES, Optional.empty(), new Revision(11)));
-    now = now.plus(Span.millis(300));
-    view.clock(now);
-    view.tick(now);
+    watchesAgain();
     shows(new News(Keys.TYPES, Optional.empty(), new Revision(12)));
     leadership.tick(now);
     outbox.answered(
@@ -132,11 +130,13 @@
     outbox.answered(sent(Request.Commit.class).orElseThrow().call(), new Answer.Nothing("lost"));
     showsOwnKey(13);
     assertThat(rises).containsExactly(new Token(13));
+    watchesAgain();
     shows(new News(Keys.LEADER, Optional.empty(), new Revision(14)));
     assertThat(leadership.holdsToken()).isFalse();
+    watchesAgain();
     showsOwnKey(15);
     assertThat(leadership.holdsToken()).as("it has given that claim up").isFalse();
-    now = now.plus(Span.millis(400));
+    watchesAgain();
     out.removeIf(call -> call.request() instanceof Request.Commit);
     leadership.tick(now);
     Request.Commit removal = (Request.Commit) sent(Request.Commit.class).orElseThrow().request();
@@ -144,6 +144,12 @@
     assertThat(rises).hasSize(1);
   }
 
+  private void watchesAgain() {
+    now = now.plus(Span.millis(400));
+    view.clock(now);
+    view.tick(now);
+  }
+
   private void claims() {
     loads(List.of());
     leadership.tick(now);
