--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -121,6 +121,9 @@
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
+      case "reruns" -> {
+        return world.reruns <= line.number("most", 0);
+      }
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -312,6 +312,9 @@
       }
     } else if (same && known.ended()) {
       tasks.remove(order.task());
+      if (known.cause == Report.Cause.DONE) {
+        world.forgotten.add(order.task());
+      }
     }
   }
 
@@ -389,6 +392,7 @@
     task.state = task.spec.gang() ? Report.PieceState.GATHERING : Report.PieceState.RUNNING;
     reporting.changed();
     world.rules.started(this, id, task.spec);
+    world.reruns += world.forgotten.contains(id) ? 1 : 0;
     if (world.rules.completed(id)) {
       // Its result is kept, wherever that came about.
       finish(id, task, Report.Cause.DONE);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -41,6 +41,13 @@
   final Map<JobId, SimUser> users = new LinkedHashMap<>();
   final Set<JobId> failing = new HashSet<>();
   int refusals;
+
+  /** Completed tasks of which a worker was told to forget the result. */
+  final Set<TaskId> forgotten = new HashSet<>();
+
+  /** Starts of such tasks. */
+  int reruns;
+
   private int turn;
 
   World(Settings settings, Plans plans, Words base) {
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/LateWritesTest.java
@@ -0,0 +1,101 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+
+/**
+ * A small busy day on which the transactions of one writer get no answer and are carried out late,
+ * while leaders end: each writer by the keys it writes, each for some delays. Every rule is
+ * checked, that all work is done, and that no task is run again once its result was to be kept.
+ */
+class LateWritesTest {
+  /** What is written, by whom and what that is. */
+  private static final List<String> KEYS =
+      List.of(
+          "oak/a/leader",
+          "oak/a/job/",
+          "oak/a/relay/",
+          "oak/a/types",
+          "oak/a/drain/",
+          "oak/a/stops",
+          "oak/a/product",
+          "oak/machine/",
+          "oak/done/",
+          "oak/shared/");
+
+  private static final List<Double> DELAYS = List.of(2.0, 4.5, 7.0, 12.0);
+
+  @TestFactory
+  List<DynamicTest> lateWrites() {
+    List<DynamicTest> tests = new ArrayList<>();
+    for (String key : KEYS) {
+      for (double delay : DELAYS) {
+        String name = key + " " + delay + " s late";
+        tests.add(DynamicTest.dynamicTest(name, () -> play(day(key, delay))));
+      }
+    }
+    return tests;
+  }
+
+  private static void play(String text) {
+    Outcome outcome = new Scenario(text).play();
+    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
+  }
+
+  private static String day(String key, double delay) {
+    return String.format(
+        Locale.ROOT,
+        """
+        settings nodes=4 zones=a,b report=1 lease=10 cancel=45
+        team crew
+        team small max=6
+        budget crew down=2 stops=60
+        type m cpus=4 mem=16 boot=8
+        capacity m a 12
+        capacity m b 12
+        machine m a 4
+        machine m b 3
+        drain all step=2 surge=2 patience=10 pause=2 from=14
+        product version=1
+        headroom serving team=crew replicas=1
+        at 3 submit j-1 service tasks=3 priority=high
+        at 4 submit j-2 array tasks=24 run=3,9,25
+        at 4 submit j-3 array tasks=2 run=3,55
+        at 5 submit j-4 array tasks=12 run=6 team=small
+        at 6 submit j-5 service tasks=2 team=small
+        # each writer has its late transactions three times: at the start of work, and round two changes of leader
+        at 2 latewrites leading for=6 share=0.5 after=%1$s key=%2$s
+        at 14 latewrites all for=9 share=0.6 after=%1$s key=%2$s
+        at 16 submit j-6 array tasks=6 run=4
+        at 17 cancel j-5
+        at 18 restart leading after=0.3
+        at 21 cut zone:a zone:b for=22
+        at 30 submit j-7 array tasks=3 run=2,20,5
+        at 32 latewrites all for=8 share=0.6 after=%1$s key=%2$s
+        at 36 restart leading after=4
+        at 37 submit j-8 array tasks=4 run=30
+        at 39 cancel j-8
+        at 60 submit j-9 array tasks=4 run=3
+        at 140 expect reruns most=0
+        at 140 expect j-2 done
+        at 140 expect j-3 done
+        at 140 expect j-4 done
+        at 140 expect j-6 done
+        at 140 expect j-7 done
+        at 140 expect j-9 done
+        at 140 expect j-1 on least=2
+        at 140 expect j-5 on most=0
+        at 140 expect j-8 on most=0
+        end 140
+        """,
+        delay,
+        key);
+  }
+}
