--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -312,6 +312,9 @@
       }
     } else if (same && known.ended()) {
       tasks.remove(order.task());
+      if (known.cause == Report.Cause.DONE) {
+        world.forgotten.add(order.task());
+      }
     }
   }
 
@@ -389,6 +392,7 @@
     task.state = task.spec.gang() ? Report.PieceState.GATHERING : Report.PieceState.RUNNING;
     reporting.changed();
     world.rules.started(this, id, task.spec);
+    world.reruns += world.forgotten.contains(id) ? 1 : 0;
     if (world.rules.completed(id)) {
       // Its result is kept, wherever that came about.
       finish(id, task, Report.Cause.DONE);
@@ -408,7 +412,7 @@
     if (faulty || world.failing.contains(id.job())) {
       world.time.after(200, () -> finish(id, task, Report.Cause.ERROR));
     } else if (!task.spec.service()) {
-      double left = world.runSeconds.get(id.job()) - world.saved.getOrDefault(id, 0.0);
+      double left = world.runSeconds(id) - world.saved.getOrDefault(id, 0.0);
       long millis = Math.round(Math.max(0, left) * 1000 * slowness);
       world.time.after(millis, () -> finish(id, task, Report.Cause.DONE));
     }
