Users are refused in time when an answer is late; results that make no sense are set aside

One stored part of results with bad bits, or under a bad key, kept a new leader from ever recovering: it is set aside with one line. A record of a job that can't be read is no ground for 400 or 422.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.Admission;
+import org.oakwalk.core.job.OpenQuestions;
 import org.oakwalk.core.job.UserDesk;
 import org.oakwalk.core.leadership.Leadership;
 import org.oakwalk.core.leadership.Lodging;
@@ -52,6 +53,7 @@
   private final ReportForwarding forwarding = new ReportForwarding();
   private final Lodging lodging = new Lodging();
   private final UserDesk desk;
+  private final OpenQuestions questions = new OpenQuestions();
   private final Catalogue catalogue;
   private Optional<LeaderTerm> term = Optional.empty();
   private Moment nextDigest = new Moment(Long.MIN_VALUE / 2);
@@ -214,6 +216,9 @@
 
   private void tick() {
     view.tick(now);
+    for (ExchangeId late : questions.late(now)) {
+      outbox.respond(late, Response.unavailable("no answer in time", SOON));
+    }
     leadership.tick(now);
     relay.tick(leadership.holdsToken(), now);
     catalogue.tick(leadership.holdsToken(), view.types(), now);
@@ -319,6 +324,7 @@
    * the leader has lost it as well, and the user is sent away at once.
    */
   private void serve(Event.UserAsks asks) {
+    questions.asked(asks.exchange(), asks.request(), now);
     desk.serve(
         asks.request(),
         response -> {
@@ -326,17 +332,23 @@
           if (unavailable && servingPeer().isPresent()) {
             forward(asks, response);
           } else {
-            outbox.respond(asks.exchange(), response);
+            answer(asks, response);
           }
         });
   }
 
+  private void answer(Event.UserAsks asks, Response response) {
+    if (questions.answered(asks.exchange())) {
+      outbox.respond(asks.exchange(), response);
+    }
+  }
+
   private void forward(Event.UserAsks asks, Response otherwise) {
     outbox.call(
         new Request.Tell(servingPeer().orElseThrow(), new PeerMessage.Forward(asks.request())),
         answer ->
-            outbox.respond(
-                asks.exchange(),
+            answer(
+                asks,
                 answer instanceof Answer.Told told
                         && told.message() instanceof PeerMessage.Forwarded forwarded
                     ? forwarded.response()
--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserDesk.java
@@ -121,6 +121,9 @@
             answer.accept(Response.unavailable("state service out of reach", SOON));
           } else if (job.isPresent()) {
             answer.accept(status(job.get()));
+          } else if (view.unreadable(request.job())) {
+            // It may have been accepted: then nobody may be told that it can't be.
+            answer.accept(Response.unavailable("record of the job can't be read", SOON));
           } else if (verdict != null) {
             answer.accept(verdict);
           } else {
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -1,5 +1,6 @@
 package org.oakwalk.core.recovery;
 
+import java.util.BitSet;
 import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
@@ -193,22 +194,28 @@
     return entered.get(State.values()[of.ordinal() + 1]).since(entered.get(of));
   }
 
+  /** One that makes no sense is set aside: its tasks start again, and the others are restored. */
   private void result(Entry entry) {
     String[] parts = entry.key().substring(Keys.DONE.length()).split("/");
-    if (parts.length != 2 || !(entry.value() instanceof StoredValue.DoneChunk chunk)) {
+    BitSet bits;
+    int from;
+    try {
+      String text = entry.value() instanceof StoredValue.DoneChunk part ? part.bits() : "none";
+      bits = DoneBits.decode(text);
+      from = Math.multiplyExact(Integer.parseInt(parts[parts.length - 1]), DoneBits.CHUNK);
+    } catch (IllegalArgumentException | ArithmeticException e) {
+      LOG.error("{} can't be read: {}", entry.key(), e.getMessage());
       return;
     }
     JobId id = new JobId(parts[0]);
     results.found(id, entry.key());
     jobs.find(id)
         .ifPresent(
-            job -> {
-              int from = Integer.parseInt(parts[1]) * DoneBits.CHUNK;
-              DoneBits.decode(chunk.bits()).stream()
-                  .map(bit -> from + bit)
-                  .filter(index -> index < job.spec().tasks())
-                  .forEach(job::restore);
-            });
+            job ->
+                bits.stream()
+                    .map(bit -> from + bit)
+                    .filter(index -> index >= 0 && index < job.spec().tasks())
+                    .forEach(job::restore));
   }
 
   private void machine(Entry entry, Moment now) {
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -416,7 +416,14 @@
     }
   }
 
-  private void apply(String key, Optional<StoredValue> value, Revision stamp) {
+  private void apply(String key, Optional<StoredValue> stored, Revision stamp) {
+    Optional<StoredValue> value = stored;
+    if (stored.isPresent()
+        && stored.get() instanceof JobRecord record
+        && !key.equals(Keys.job(record.spec().id()))) {
+      // Taken for what it says, it would make up a job that nobody submitted.
+      value = Optional.of(new StoredValue.Unreadable("record of job " + record.spec().id()));
+    }
     if (key.equals(Keys.LEADER)) {
       if (stamp.compareTo(leaderStamp) <= 0) {
         return;
@@ -450,6 +457,7 @@
         relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
       }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
+      unreadable.remove(key);
       KnownJob known = jobs.get(record.spec().id());
       if (known == null || known.stamp().compareTo(stamp) < 0) {
         KnownJob job = KnownJob.of(record, stamp);
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -45,6 +45,8 @@
         + world.rules.told(job)
         + ", starts "
         + world.rules.totalStarts()
+        + ", unheard "
+        + world.unheard
         + ", refusals "
         + world.refusals
         + ", machines "
@@ -117,6 +119,9 @@
         return world.rules.totalStarts() >= line.number("least", 0)
             && world.rules.totalStarts() <= line.number("most", 1e9);
       }
+      case "unheard" -> {
+        return world.unheard <= line.number("most", 0);
+      }
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
@@ -128,7 +133,9 @@
       }
       case "answered" -> {
         double since = world.time.seconds() - line.number("within", 75);
-        return world.users.values().stream().allMatch(user -> user.answeredAt() >= since);
+        return world.users.values().stream()
+            .filter(user -> !line.has("open") || user.asks())
+            .allMatch(user -> user.answeredAt() >= since);
       }
       case "keys" -> {
         return world.state.keys(line.word(4)) <= line.number("most", 0);
--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -59,6 +59,11 @@
     return answeredAt;
   }
 
+  /** Whether the job was accepted, and its user has not been told yet that it is over. */
+  boolean asks() {
+    return polling && world.rules.told(job) == null;
+  }
+
   void cancel() {
     if (acceptedAfter == null && world.time.seconds() - began < GIVES_UP) {
       // Nobody cancels what has not been accepted yet.
@@ -112,6 +117,7 @@
         () -> {
           if (!over[0]) {
             over[0] = true;
+            world.unheard += node.filter(SimNode::active).isPresent() ? 1 : 0;
             then.accept(null);
           }
         });
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -40,6 +40,10 @@
   final Map<JobId, SimUser> users = new LinkedHashMap<>();
   final Set<JobId> failing = new HashSet<>();
   int refusals;
+
+  /** Users' questions to a node that runs, to which no answer came in time. */
+  int unheard;
+
   private int turn;
 
   World(Settings settings, Plans plans, Words base) {
--- a/src/main/java/org/oakwalk/wire/StateCodec.java
+++ b/src/main/java/org/oakwalk/wire/StateCodec.java
@@ -203,7 +203,8 @@
   private static StoredValue readable(Fields item) {
     try {
       return value(item.map("value"));
-    } catch (BadMessage | IllegalArgumentException e) {
+    } catch (BadMessage | RuntimeException e) {
+      // A record's own checks throw what they like.
       return new StoredValue.Unreadable(String.valueOf(e.getMessage()));
     }
   }
