--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -194,6 +194,7 @@
     return entered.get(State.values()[of.ordinal() + 1]).since(entered.get(of));
   }
 
+  /** One that makes no sense is set aside: its tasks start again, and the others are restored. */
   private void result(Entry entry) {
     Optional<Keys.Part> part = Keys.part(entry.key());
     if (part.isEmpty()) {
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -428,7 +428,14 @@
     }
   }
 
-  private void apply(String key, Optional<StoredValue> value, Revision stamp) {
+  private void apply(String key, Optional<StoredValue> stored, Revision stamp) {
+    Optional<StoredValue> value = stored;
+    if (stored.isPresent()
+        && stored.get() instanceof JobRecord record
+        && !key.equals(Keys.job(record.spec().id()))) {
+      // Taken for what it says, it would make up a job that nobody submitted.
+      value = Optional.of(new StoredValue.Unreadable("record of job " + record.spec().id()));
+    }
     if (key.equals(Keys.STOPS)) {
       stopsStamp = value.isPresent() ? stamp : Revision.NONE;
     } else if (key.equals(Keys.TYPES)) {
@@ -467,6 +474,7 @@
         relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
       }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
+      unreadable.remove(key);
       KnownJob known = jobs.get(record.spec().id());
       if (known == null || known.stamp().compareTo(stamp) < 0) {
         KnownJob job = KnownJob.of(record, stamp);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -48,6 +48,9 @@
   /** Starts of such tasks. */
   int reruns;
 
+  /** Users' questions to a node that runs, to which no answer came in time. */
+  int unheard;
+
   private int turn;
 
   World(Settings settings, Plans plans, Words base) {
