Cancelled tasks: no answer counts longer than what was read before it allows

A leader whose history is lost gives its token up, since pages show jobs before a change of leader. The bounds stand in Settings.Workers, for all settings (WorkerTimesTest).

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -33,7 +33,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final Span DIGEST_EVERY = Span.millis(1000);
   private static final Span SUMMARY_EVERY = Span.seconds(10);
-  private static final Span GRACE_MARGIN = Span.seconds(2);
   private static final Span READY_WITHOUT_CONTACT = Span.seconds(6);
   private static final Span DIGEST_COUNTS_FOR = Span.millis(2500);
   private static final Span SOON = Span.seconds(1);
@@ -73,8 +72,10 @@
     this.settings = settings;
     this.view =
         new StoreView(outbox, settings.state().requestsPerSecond(), settings.peers().size() + 1);
-    Span graceLimit =
-        settings.workers().cancel().minus(settings.workers().lease()).minus(GRACE_MARGIN);
+    Span graceLimit = settings.workers().graceLimit();
+    if (!settings.workers().cancelsInTime()) {
+      LOG.warn("a lease alone may outlast cancel_s: tasks out of reach may end too late");
+    }
     this.leadership =
         new Leadership(
             outbox,
@@ -126,6 +127,11 @@
           public void jobChanged(KnownJob job, Moment at) {
             term.ifPresent(r -> r.jobChanged(job, at));
           }
+
+          @Override
+          public void historyLost(Moment at) {
+            leadership.historyLost(at);
+          }
         });
   }
 
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -30,6 +30,11 @@
   /** The workers' timing. */
   public record Workers(Span report, Span lease, Span cancel) {
     private static final Span RELAY_MARGIN = Span.seconds(4);
+    private static final Span GRACE_MARGIN = Span.seconds(2);
+
+    /** A leader's copy of the store lags by less, as long as the store answers as usual. */
+    private static final Span LEAST_GRACE = Span.millis(1800);
+
     private static final double MISSED_REPORTS = 2.2;
 
     /** How long a machine may be silent before it is suspected to be out of reach or broken. */
@@ -43,7 +48,33 @@
      * have been told for more than {@code cancel} that its job is cancelled.
      */
     public Span relayWindow() {
-      return cancel.minus(lease.times(2)).minus(RELAY_MARGIN);
+      Span window = cancel.minus(lease.times(2)).minus(RELAY_MARGIN);
+      // A shorter time gains nothing over the lease that the workers have anyway.
+      return window.compareTo(lease.times(0.5)) > 0 ? window : Span.millis(0);
+    }
+
+    /** Whether followers keep leases alive at all. */
+    public boolean relays() {
+      return relayWindow().millis() > 0;
+    }
+
+    /**
+     * How long after the begin of its last read of the store a leader may answer workers. What it
+     * does not know may have been withdrawn at that moment, and an answer keeps tasks alive for a
+     * lease. Settings that leave no time for that leave it an ordinary copy's lag, without which it
+     * could never answer.
+     */
+    public Span graceLimit() {
+      Span limit = cancel.minus(lease).minus(GRACE_MARGIN);
+      return limit.compareTo(LEAST_GRACE) > 0 ? limit : LEAST_GRACE;
+    }
+
+    /**
+     * Whether a task of a cancelled job is gone in time whatever is out of reach. Otherwise a lease
+     * alone may outlast what cancelling allows.
+     */
+    public boolean cancelsInTime() {
+      return !graceLimit().plus(lease.surelyPassed()).isLongerThan(cancel);
     }
   }
 
--- a/src/main/java/org/oakwalk/core/Span.java
+++ b/src/main/java/org/oakwalk/core/Span.java
@@ -29,6 +29,10 @@
     return new Span(Math.round(millis * factor));
   }
 
+  public boolean isLongerThan(Span other) {
+    return millis > other.millis;
+  }
+
   /** How long to wait here to be sure that this span has passed on another machine's clock. */
   public Span surelyPassed() {
     return new Span((long) Math.ceil(millis * (1 + 2 * DRIFT)));
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -323,6 +323,9 @@
     List<Order> orders = new ArrayList<>(clears(machine));
     for (Placement placement : machine.placements()) {
       if (placement.halting()) {
+        if (mayStartYet(placement, machine)) {
+          orders.add(new Order.Run(placement.task(), placement.attempt()));
+        }
         orders.add(haltOrder(placement));
       } else if (placement.state() == Placement.State.ORDERED
           && machine.state() == Machine.State.UP) {
@@ -336,6 +339,18 @@
     return orders;
   }
 
+  /**
+   * Whether a start by command may come out of a cut at any later time of a session that this
+   * answer keeps alive, though the job is withdrawn. A worker that has the attempt, started and
+   * halted by this very answer, starts it no more; and it is cleared only with the session.
+   */
+  private static boolean mayStartYet(Placement placement, Machine machine) {
+    return placement.state() == Placement.State.ORDERED
+        && placement.job().over()
+        && placement.haltGrace().millis() == 0
+        && machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
+  }
+
   static Order haltOrder(Placement placement) {
     return new Order.Halt(placement.task(), placement.attempt(), placement.haltGrace());
   }
--- a/src/main/java/org/oakwalk/core/leadership/Leadership.java
+++ b/src/main/java/org/oakwalk/core/leadership/Leadership.java
@@ -204,6 +204,17 @@
     }
   }
 
+  /**
+   * The copy of the store has to be read anew. Its pages come in the order of their keys: jobs that
+   * were stored under a later leader would be seen before the change of leader.
+   */
+  public void historyLost(Moment now) {
+    if (holdsToken()) {
+      LOG.info("changes were missed, token {} is given up", token);
+      fall(now);
+    }
+  }
+
   private void fall(Moment now) {
     Token fallen = token;
     token = null;
--- a/src/main/java/org/oakwalk/core/leadership/Relay.java
+++ b/src/main/java/org/oakwalk/core/leadership/Relay.java
@@ -74,8 +74,7 @@
     this.node = settings.node();
     this.zone = settings.zone();
     this.window = settings.workers().relayWindow();
-    // A shorter time gains nothing over the lease that the workers have anyway.
-    this.worthwhile = window.compareTo(settings.workers().lease().times(0.5)) > 0;
+    this.worthwhile = settings.workers().relays();
   }
 
   /** A leader was heard; nothing under an older token goes out from here on. */
@@ -141,6 +140,8 @@
 
   /**
    * Whether workers may be answered under this token now: it is announced, and not for too long.
+   * The leader counts from when it saw that, so here it counts from the earliest moment at which it
+   * may have been announced, also if this copy of the store learned of it late.
    */
   private boolean may(Token token) {
     return silent
@@ -148,7 +149,7 @@
         && remoteLeader().filter(leader -> leader.token().equals(token)).isPresent()
         && view.relayed(zone)
             .filter(relayed -> relayed.record().token().equals(token) && relayed.watched())
-            .filter(relayed -> !clock.past(relayed.seen(), window.surelyNotPassed()))
+            .filter(relayed -> !clock.past(relayed.earliest(), window.surelyNotPassed()))
             .isPresent();
   }
 
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -43,6 +43,9 @@
     void leaderChanged(Moment now);
 
     void jobChanged(KnownJob job, Moment now);
+
+    /** Changes were missed, and all is read anew. */
+    default void historyLost(Moment now) {}
   }
 
   /** The leader key as last seen. */
@@ -51,11 +54,16 @@
   /**
    * An announcement that followers may keep leases alive in a zone.
    *
-   * @param seen when it came to be known here
+   * @param seen when it came to be known here, so no earlier than it was made
+   * @param earliest begin of the last read that did not show it, so it was made later
    * @param watched whether it was seen as it was made, so that its age is known
    */
   public record Relayed(
-      StoredValue.RelayRecord record, Revision stamp, Moment seen, boolean watched) {}
+      StoredValue.RelayRecord record,
+      Revision stamp,
+      Moment seen,
+      Moment earliest,
+      boolean watched) {}
 
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
@@ -290,8 +298,10 @@
   private void watch(Moment now) {
     busy = true;
     long before = asked;
+    // Right after pages that took long to read, what they lag behind by is asked for at once.
+    Span hold = now.past(contact, STALE) && !failing ? Span.millis(0) : HOLD;
     outbox.call(
-        new Request.Watch(Keys.WATCHED, position, HOLD, Request.Urgency.LEADERSHIP),
+        new Request.Watch(Keys.WATCHED, position, hold, Request.Urgency.LEADERSHIP),
         answer -> {
           busy = false;
           if (!take(answer, now)) {
@@ -321,8 +331,11 @@
       return true;
     }
     if (answer instanceof Answer.Refused refused && refused.status() == 410) {
-      // The history was cut off behind us: read everything again.
-      enter(State.LOADING);
+      // The history was cut off behind us: read everything again, unless that has begun.
+      if (state == State.LIVE) {
+        enter(State.LOADING);
+        listener.historyLost(clock);
+      }
       return false;
     }
     failing = true;
@@ -331,7 +344,7 @@
 
   private void load(Moment now) {
     busy = true;
-    if (loadEpoch == null && pages == 0) {
+    if (loadEpoch == null) {
       loadBegan = now;
     }
     outbox.call(
@@ -363,7 +376,8 @@
             relays.keySet().retainAll(relaysOnPages);
             position = loadEpoch;
             enter(State.LIVE);
-            touched(now);
+            // What changed on the first page after it was read is yet to be seen.
+            touched(loadBegan);
           }
           tick(clock);
         });
@@ -426,7 +440,7 @@
     } else if (key.startsWith(Keys.RELAYS)) {
       relays.remove(key);
       if (value.isPresent() && value.get() instanceof StoredValue.RelayRecord relay) {
-        relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
+        relays.put(key, new Relayed(relay, stamp, clock, contact, state == State.LIVE));
       }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
       KnownJob known = jobs.get(record.spec().id());
--- /dev/null
+++ b/src/test/java/org/oakwalk/core/WorkerTimesTest.java
@@ -0,0 +1,57 @@
+package org.oakwalk.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.oakwalk.core.store.StoreView;
+
+/**
+ * What bounds a cancelled task's life, as docs/safety.md sums it up, for settings of all sorts: the
+ * sums stay below what cancelling allows, or the way that they stand for is not taken.
+ */
+class WorkerTimesTest {
+  /** Clocks of two machines drift apart by up to 0.05%. */
+  private static final double DRIFT = 1.0005;
+
+  private static Settings.Workers workers(double report, double lease, double cancel) {
+    return new Settings.Workers(Span.seconds(report), Span.seconds(lease), Span.seconds(cancel));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "2.5, 15.25, 45.25, true",
+    "4, 22, 47, false",
+    "3, 20, 45, false",
+    "2.5, 15.25, 30.75, false",
+    "2.5, 15.25, 31.5, false",
+    "2.5, 15.25, 20, false",
+    "2.5, 15.25, 17.5, false",
+    "2, 10, 40, true"
+  })
+  void theSumsStayBelowWhatCancellingAllows(
+      double report, double lease, double cancel, boolean relays) {
+    Settings.Workers timing = workers(report, lease, cancel);
+    assertThat(timing.cancelsInTime()).isTrue();
+    double grace = timing.graceLimit().surelyNotPassed().asSeconds() * DRIFT;
+    assertThat(grace + lease * DRIFT).isLessThan(cancel);
+    assertThat(timing.relays()).isEqualTo(relays);
+    if (relays) {
+      double window = timing.relayWindow().surelyNotPassed().asSeconds() * DRIFT;
+      assertThat(2 * lease * DRIFT + window).isLessThan(cancel);
+    } else {
+      assertThat(timing.relayWindow().millis()).isZero();
+    }
+  }
+
+  /** Nothing can hold them then; leaders answer by a copy that is as good as current, no longer. */
+  @ParameterizedTest
+  @CsvSource({"15.25, 17", "15.25, 15.25", "15.25, 10", "20, 1"})
+  void aLeaseThatOutlastsCancellingLeavesNoGrace(double lease, double cancel) {
+    Settings.Workers timing = workers(2.5, lease, cancel);
+    assertThat(timing.cancelsInTime()).isFalse();
+    assertThat(timing.graceLimit()).isLessThanOrEqualTo(StoreView.LAG);
+    assertThat(timing.relays()).isFalse();
+    assertThat(timing.relayWindow().millis()).isZero();
+  }
+}
