--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -76,6 +76,9 @@
     this.view =
         new StoreView(outbox, settings.state().requestsPerSecond(), settings.peers().size() + 1);
     Span graceLimit = settings.workers().graceLimit();
+    if (!settings.workers().cancelsInTime()) {
+      LOG.warn("a lease alone may outlast cancel_s: tasks out of reach may end too late");
+    }
     this.leadership =
         new Leadership(
             outbox,
@@ -127,6 +130,11 @@
           public void jobChanged(KnownJob job, Moment at) {
             term.ifPresent(r -> r.jobChanged(job, at));
           }
+
+          @Override
+          public void historyLost(Moment at) {
+            leadership.historyLost(at);
+          }
         });
   }
 
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -21,7 +21,12 @@
     Span clockOff) {
 
   /** A team's guarantee and limit; zero means none. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /** Whether there is a limit to what it uses. */
+    public boolean limited() {
+      return cpusMax > 0 || gpusMax > 0;
+    }
+  }
 
   /** What is expected of a class of jobs. */
   public record Objective(
@@ -29,8 +34,12 @@
 
   /** The workers' timing. */
   public record Workers(Span report, Span lease, Span cancel) {
-    private static final Span GRACE_MARGIN = Span.seconds(2);
     private static final Span RELAY_MARGIN = Span.seconds(4);
+    private static final Span GRACE_MARGIN = Span.seconds(2);
+
+    /** A leader's copy of the store lags by less, as long as the store answers as usual. */
+    private static final Span LEAST_GRACE = Span.millis(1800);
+
     private static final double MISSED_REPORTS = 2.2;
 
     /** How long a machine may be silent before it is suspected to be out of reach or broken. */
@@ -39,20 +48,38 @@
     }
 
     /**
-     * How long after a moment from which on a withdrawal may be unknown here, or its tasks may yet
-     * start, workers may be answered: by then their sessions end within {@code cancel} of it.
+     * How long followers may keep leases alive for a leader that workers can't reach. A start
+     * command that a cut holds back is executed as long as its session lives: by then no user may
+     * have been told for more than {@code cancel} that its job is cancelled.
+     */
+    public Span relayWindow() {
+      Span window = cancel.minus(lease.times(2)).minus(RELAY_MARGIN);
+      // A shorter time gains nothing over the lease that the workers have anyway.
+      return window.compareTo(lease.times(0.5)) > 0 ? window : Span.millis(0);
+    }
+
+    /** Whether followers keep leases alive at all. */
+    public boolean relays() {
+      return relayWindow().millis() > 0;
+    }
+
+    /**
+     * How long after the begin of its last read of the store a leader may answer workers. What it
+     * does not know may have been withdrawn at that moment, and an answer keeps tasks alive for a
+     * lease. Settings that leave no time for that leave it an ordinary copy's lag, without which it
+     * could never answer.
      */
     public Span graceLimit() {
-      return cancel.minus(lease).minus(GRACE_MARGIN);
+      Span limit = cancel.minus(lease).minus(GRACE_MARGIN);
+      return limit.compareTo(LEAST_GRACE) > 0 ? limit : LEAST_GRACE;
     }
 
     /**
-     * How long followers may keep leases alive for a leader that workers can't reach. A start
-     * command that a cut holds back is executed as long as its session lives: by then no user may
-     * have been told for more than {@code cancel} that its job is cancelled.
+     * Whether a task of a cancelled job is gone in time whatever is out of reach. Otherwise a lease
+     * alone may outlast what cancelling allows.
      */
-    public Span relayWindow() {
-      return cancel.minus(lease.times(2)).minus(RELAY_MARGIN);
+    public boolean cancelsInTime() {
+      return !graceLimit().plus(lease.surelyPassed()).isLongerThan(cancel);
     }
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -105,6 +105,7 @@
   private final Set<Machine> toCommand = new LinkedHashSet<>();
   private final Stoppable stoppable = new Stoppable();
   private final Reconciler reconciler;
+  private boolean withoutLimits;
   private long attempts;
 
   /** The last moment at which an older leader may have renewed a lease; null if not known yet. */
@@ -133,6 +134,11 @@
     types = current;
   }
 
+  /** No team has a limit. */
+  public void withoutLimits() {
+    withoutLimits = true;
+  }
+
   public Collection<Machine> machines() {
     return machines.values();
   }
@@ -394,9 +400,14 @@
         .uncleared()
         .forEach(
             (attempt, done) -> {
-              if ((!machine.openRuns().mayRepeat(attempt.task()) || startsAnew(machine, attempt))
+              if ((!machine.openRuns().mayRepeat(attempt.task())
+                      || mayComeAgain(attempt.task())
+                      || startsAnew(machine, attempt))
                   && (!done || settled(attempt.task()))
                   && !machine.runOpen(attempt)) {
+                if (mayComeAgain(attempt.task())) {
+                  machine.openRuns().harmless(attempt.task());
+                }
                 orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
               }
             });
@@ -413,6 +424,17 @@
         && machine.state() == Machine.State.UP;
   }
 
+  /**
+   * Whether a start of this task that comes once more does no harm, whenever it comes. Its job is
+   * stored as done, so nobody can withdraw it, and the task only ends as done again; and there is
+   * no team with a limit which that could exceed for a moment. The worker may forget it then, and
+   * need not list it for the rest of a long session.
+   */
+  private boolean mayComeAgain(TaskId task) {
+    return withoutLimits
+        && view.job(task.job()).filter(known -> known.phase() == JobRecord.Phase.DONE).isPresent();
+  }
+
   private boolean settled(TaskId task) {
     Optional<Job> job = jobs.find(task.job());
     if (job.isPresent() && job.get().open()) {
