Draws: troubles that overlap while users cancel

Draws gave one trouble after another by chance, so meetings of two were rare and nothing was withdrawn meanwhile. A draw of the new kind makes two or three overlap: late writes, late reports, deaf machines, a leader cut from state and peers alone, a refusal followed by an outage longer than a withdrawal may take, commands held up, starts that come again, ends and standstills. Six jobs are withdrawn in that time, and small jobs end far apart.

--- a/src/main/java/org/oakwalk/cli/ExperimentCommand.java
+++ b/src/main/java/org/oakwalk/cli/ExperimentCommand.java
@@ -54,6 +54,16 @@
   @Option(names = "--headroom", description = "With --draw: room is kept for replicas.")
   private boolean headroom;
 
+  @Option(
+      names = "--products",
+      description = "With --draw: dawn, headroom and exchange are all in use.")
+  private boolean products;
+
+  @Option(
+      names = "--meetings",
+      description = "With --draw: troubles that overlap, while users cancel.")
+  private boolean meetings;
+
   @Option(
       names = "--csv",
       paramLabel = "FILE",
@@ -86,6 +96,8 @@
         Draw troubles = new Draw(seed);
         troubles = roll ? troubles.withRoll() : troubles;
         troubles = headroom ? troubles.withHeadroom() : troubles;
+        troubles = products ? troubles.withProducts() : troubles;
+        troubles = meetings ? troubles.withMeetings() : troubles;
         held &= play("seed " + seed, troubles.text());
       }
     }
--- a/src/main/java/org/oakwalk/model/Draw.java
+++ b/src/main/java/org/oakwalk/model/Draw.java
@@ -11,7 +11,7 @@
  * seconds of the end of the last trouble.
  */
 public final class Draw {
-  private static final int LAST_TROUBLE_ENDS = 100;
+  static final int LAST_TROUBLE_ENDS = 100;
 
   /** A lease held up by lease grace and relays, boots, and the work itself. */
   private static final int BACK_AFTER = 110;
@@ -23,12 +23,15 @@
 
   private final UniformRandomProvider random;
   private final List<String> lines = new ArrayList<>();
+  private final List<String> finite = new ArrayList<>(List.of("j-2", "j-3", "j-4", "j-5", "j-9"));
   private final int nodes;
   private final boolean zones;
   private final int machines;
   private final boolean accelerators;
   private boolean roll;
   private boolean headroom;
+  private boolean products;
+  private boolean meetings;
 
   /** A draw; the same seed always gives the same. */
   public Draw(int seed) {
@@ -51,6 +54,27 @@
     return this;
   }
 
+  /** Adds room kept for replicas, an exchange with batch work, and work that is due by a dawn. */
+  public Draw withProducts() {
+    products = true;
+    return withHeadroom();
+  }
+
+  /** Troubles that overlap, while users cancel, instead of those that come as they like. */
+  public Draw withMeetings() {
+    meetings = true;
+    return this;
+  }
+
+  private void products() {
+    add("dawn night every=600 lasts=600 classes=night margin=30");
+    add("exchange swap takers=service givers=night,array dwell=5 patience=30");
+    add(
+        "at %d submit j-13 array class=night tasks=%d run=%d saves=5 save=1 priority=low",
+        4 + random.nextInt(20), 6 + random.nextInt(20), 4 + random.nextInt(20));
+    finite.add("j-13");
+  }
+
   private void headroom() {
     add("product version=1");
     add(
@@ -84,9 +108,15 @@
 
   /** The text of a scenario. */
   public String text() {
+    int report = 1 + random.nextInt(2);
+    int cancel = 30 + 5 * random.nextInt(4);
     add(
-        "settings nodes=%d zones=%s report=%d lease=10 cancel=%d",
-        nodes, zones ? "a,b" : "a", 1 + random.nextInt(2), 30 + 5 * random.nextInt(4));
+        "settings nodes=%d zones=%s report=%d lease=10 cancel=%d%s",
+        nodes,
+        zones ? "a,b" : "a",
+        report,
+        cancel,
+        meetings ? " seed=" + (1 + random.nextInt(1000)) : "");
     add("team crew");
     add("team small max=6");
     add("team guests");
@@ -101,6 +131,9 @@
     if (headroom) {
       headroom();
     }
+    if (products) {
+      products();
+    }
     place("a");
     if (zones) {
       place("b");
@@ -109,15 +142,20 @@
     if (accelerators) {
       workOnAccelerators();
     }
-    int troubles = 2 + random.nextInt(5);
-    for (int i = 0; i < troubles; i++) {
-      trouble();
+    if (meetings) {
+      Meetings met = new Meetings(random, nodes, machinesInAll(), zones, cancel);
+      lines.addAll(met.lines());
+      finite.addAll(met.finite());
+    } else {
+      int troubles = 2 + random.nextInt(5);
+      for (int i = 0; i < troubles; i++) {
+        trouble();
+      }
     }
     add("at %d restart down", LAST_TROUBLE_ENDS);
     add("at %d cancel j-8", LAST_TROUBLE_ENDS + 2);
     add("at %d submit j-9 array tasks=4 run=3", LAST_TROUBLE_ENDS + 5);
     int end = LAST_TROUBLE_ENDS + BACK_AFTER;
-    List<String> finite = new ArrayList<>(List.of("j-2", "j-3", "j-4", "j-5", "j-9"));
     if (accelerators) {
       finite.addAll(List.of("j-10", "j-12"));
       // While machines are replaced, one or the other is on its way at any moment.
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -315,6 +315,7 @@
       world.failing.add(id);
     }
     world.runSeconds.put(id, line.number("run", 5));
+    world.lastRunSeconds.put(id, line.number("longest", line.number("run", 5)));
     SimUser user = new SimUser(world, spec);
     world.users.put(id, user);
     user.submit();
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -408,7 +408,7 @@
     if (faulty || world.failing.contains(id.job())) {
       world.time.after(200, () -> finish(id, task, Report.Cause.ERROR));
     } else if (!task.spec.service()) {
-      double left = world.runSeconds.get(id.job()) - world.saved.getOrDefault(id, 0.0);
+      double left = world.runSeconds(id) - world.saved.getOrDefault(id, 0.0);
       long millis = Math.round(Math.max(0, left) * 1000 * slowness);
       world.time.after(millis, () -> finish(id, task, Report.Cause.DONE));
     }
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -35,6 +35,9 @@
   final Map<JobId, JobSpec> specs = new HashMap<>();
   final Map<JobId, Double> runSeconds = new HashMap<>();
 
+  /** Of jobs whose last task runs for a time of its own. */
+  final Map<JobId, Double> lastRunSeconds = new HashMap<>();
+
   /** Seconds of work that tasks have saved. */
   final Map<TaskId, Double> saved = new HashMap<>();
 
@@ -76,6 +79,14 @@
     time.after(500, this::check);
   }
 
+  /** How long a task's work takes. */
+  double runSeconds(TaskId task) {
+    double run = runSeconds.get(task.job());
+    return task.index() == specs.get(task.job()).tasks() - 1
+        ? lastRunSeconds.getOrDefault(task.job(), run)
+        : run;
+  }
+
   /** The time of day. */
   WallTime wall() {
     return new WallTime(time.now() + Math.round(1000 * plans.clock()));
--- a/src/test/java/org/oakwalk/scenario/TroublesTest.java
+++ b/src/test/java/org/oakwalk/scenario/TroublesTest.java
@@ -17,6 +17,7 @@
  */
 class TroublesTest {
   private static final int SEEDS = 80;
+  private static final int MEETINGS = 120;
 
   @TestFactory
   List<DynamicTest> troubles() {
@@ -47,6 +48,23 @@
         .toList();
   }
 
+  /** Troubles that overlap, while users cancel; a share in a roll, a share with all products. */
+  @TestFactory
+  List<DynamicTest> meetingsOfTroubles() {
+    return IntStream.rangeClosed(1, MEETINGS)
+        .mapToObj(
+            seed -> DynamicTest.dynamicTest("seed " + seed, () -> play(seed, meetings(seed))))
+        .toList();
+  }
+
+  private static Draw meetings(int seed) {
+    Draw draw = new Draw(seed).withMeetings();
+    if (seed > MEETINGS - 20) {
+      return draw.withProducts();
+    }
+    return seed > MEETINGS - 40 ? draw.withRoll() : draw;
+  }
+
   private static void play(int seed, Draw draw) {
     String text = draw.text();
     try {
