--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -49,6 +49,11 @@
     inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
   }
 
+  /** Whether a command with this run was sent and has not been answered. */
+  boolean inCommand(Machine.Try attempt) {
+    return inCommand.containsKey(attempt);
+  }
+
   /** Whether this task may be started by command. */
   boolean takesByCommand(TaskId task) {
     return byCommand.size() < MOST_BY_COMMAND || byCommand.contains(task);
