--- a/src/test/java/org/oakwalk/scenario/TroublesTest.java
+++ b/src/test/java/org/oakwalk/scenario/TroublesTest.java
@@ -52,8 +52,7 @@
   @TestFactory
   List<DynamicTest> meetingsOfTroubles() {
     return IntStream.rangeClosed(1, MEETINGS)
-        .mapToObj(
-            seed -> DynamicTest.dynamicTest("seed " + seed, () -> play(seed, meetings(seed))))
+        .mapToObj(seed -> DynamicTest.dynamicTest("seed " + seed, () -> play(seed, meetings(seed))))
         .toList();
   }
 
