--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -33,10 +33,7 @@
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
-  final Map<JobId, Double> runSeconds = new HashMap<>();
-
-  /** Of jobs whose last task runs for a time of its own. */
-  final Map<JobId, Double> lastRunSeconds = new HashMap<>();
+  private final Map<JobId, double[]> runs = new HashMap<>();
 
   /** Seconds of work that tasks have saved. */
   final Map<TaskId, Double> saved = new HashMap<>();
@@ -44,6 +41,16 @@
   final Map<JobId, SimUser> users = new LinkedHashMap<>();
   final Set<JobId> failing = new HashSet<>();
   int refusals;
+
+  /** Completed tasks of which a worker was told to forget the result. */
+  final Set<TaskId> forgotten = new HashSet<>();
+
+  /** Starts of such tasks. */
+  int reruns;
+
+  /** Users' questions to a node that runs, to which no answer came in time. */
+  int unheard;
+
   private int turn;
 
   World(Settings settings, Plans plans, Words base) {
@@ -79,14 +86,6 @@
     time.after(500, this::check);
   }
 
-  /** How long a task's work takes. */
-  double runSeconds(TaskId task) {
-    double run = runSeconds.get(task.job());
-    return task.index() == specs.get(task.job()).tasks() - 1
-        ? lastRunSeconds.getOrDefault(task.job(), run)
-        : run;
-  }
-
   /** The time of day. */
   WallTime wall() {
     return new WallTime(time.now() + Math.round(1000 * plans.clock()));
@@ -139,4 +138,15 @@
   Optional<SimNode> leader() {
     return nodes.stream().filter(SimNode::active).filter(SimNode::leads).findFirst();
   }
+
+  /** Sets how many seconds a job's tasks run, in the order of their numbers, and again. */
+  void run(JobId job, double... seconds) {
+    runs.put(job, seconds);
+  }
+
+  /** How many seconds a task runs. */
+  double runSeconds(TaskId task) {
+    double[] seconds = runs.get(task.job());
+    return seconds[task.index() % seconds.length];
+  }
 }
