--- a/src/main/java/org/oakwalk/model/Meetings.java
+++ b/src/main/java/org/oakwalk/model/Meetings.java
@@ -82,10 +82,15 @@
 
   private void farApart(int at) {
     for (int i = 0; i < 3; i++) {
-      int submitted = 4 + random.nextInt(at + 10);
       int tasks = 2 + random.nextInt(2);
-      String runs = (1 + random.nextInt(8) + ",").repeat(tasks - 1) + (20 + random.nextInt(30));
-      add("at %d submit j-3%d array tasks=%d run=%s", submitted, i, tasks, runs);
+      int shortest = 1 + random.nextInt(8);
+      add(
+          "at %d submit j-3%d array tasks=%d run=%s%d",
+          4 + random.nextInt(at + 10),
+          i,
+          tasks,
+          (shortest + ",").repeat(tasks - 1),
+          20 + random.nextInt(30));
     }
   }
 
@@ -142,7 +147,7 @@
     int out = Math.min(OVER - at - 14, cancel - 10 + random.nextInt(25));
     add(
         "at %d refuse %s for=%.1f",
-        at, random.nextInt(4) == 0 ? "followers" : "leading", before + random.nextInt(10) - 4);
+        at, random.nextInt(4) == 0 ? "node-" + random.nextInt(nodes) : "leading", before + random.nextInt(10) - 4);
     add("at %.1f outage state for=%d", at + before, out);
     if (random.nextInt(3) == 0) {
       add("at %.1f restart leading after=0.2", at + before + random.nextInt(out));
