--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -103,6 +103,9 @@
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
     this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
+    if (settings.teams().values().stream().noneMatch(Settings.Team::limited)) {
+      fleet.withoutLimits();
+    }
     this.dispatcher =
         new CommandDispatcher(
             outbox,
@@ -129,7 +132,7 @@
     this.gate =
         new Gate(
             policy.drains().budgetsOf(settings.teams().keySet()),
-            new StopLedger(outbox, guard, view.stops()),
+            new StopLedger(outbox, guard, view.stops(), view::stopsStamp),
             fleet,
             jobs,
             suspectAfter);
@@ -242,7 +245,7 @@
   Optional<List<Order>> report(Report report, boolean carried, Moment now) {
     clock = now;
     Optional<Machine> machine = fleet.report(report, true, now);
-    if (machine.isEmpty()) {
+    if (machine.isEmpty() || fleet.mustLapse(machine.get(), now)) {
       return Optional.empty();
     }
     machine.get().carried(carried);
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -43,6 +43,9 @@
     void leaderChanged(Moment now);
 
     void jobChanged(KnownJob job, Moment now);
+
+    /** Changes were missed, and all is read anew. */
+    default void historyLost(Moment now) {}
   }
 
   /** The leader key as last seen. */
@@ -51,11 +54,16 @@
   /**
    * An announcement that followers may keep leases alive in a zone.
    *
-   * @param seen when it came to be known here
+   * @param seen when it came to be known here, so no earlier than it was made
+   * @param earliest begin of the last read that did not show it, so it was made later
    * @param watched whether it was seen as it was made, so that its age is known
    */
   public record Relayed(
-      StoredValue.RelayRecord record, Revision stamp, Moment seen, boolean watched) {}
+      StoredValue.RelayRecord record,
+      Revision stamp,
+      Moment seen,
+      Moment earliest,
+      boolean watched) {}
 
   private static final Span HOLD = Span.millis(1000);
   private static final Span RETRY = Span.millis(250);
@@ -68,7 +76,13 @@
   /** By how much a copy that is fresh may lag behind the store, with a margin. */
   public static final Span LAG = Span.millis(2000);
 
+  /** Bursts and clocks that differ; a rate that is a good deal higher than the settings say. */
+  private static final double FEW_SECONDS = 60;
+
+  private static final double AMPLE = 10;
+
   private final Outbox outbox;
+  private final double requestsPerSecond;
   private final Span spacing;
   private final Span leaderSpacing;
   private boolean leading;
@@ -80,6 +94,8 @@
   private final StoredPlans plans = new StoredPlans();
   private final StoredProduct product = new StoredProduct();
   private Optional<StoredValue.StopsRecord> stops = Optional.empty();
+  private Revision stopsStamp = Revision.NONE;
+  private Revision typesStamp = Revision.NONE;
 
   private Map<String, MachineType> types = Map.of();
   private final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
@@ -121,6 +137,7 @@
    */
   public StoreView(Outbox outbox, double requestsPerSecond, int nodes) {
     this.outbox = outbox;
+    this.requestsPerSecond = requestsPerSecond;
     this.spacing =
         Span.millis(Math.max(10, Math.round(1000 * nodes / (requestsPerSecond * SHARE))));
     this.leaderSpacing = Span.millis(Math.max(1, Math.round(4000 / requestsPerSecond)));
@@ -200,11 +217,21 @@
     return stops;
   }
 
+  /** When they were stored; none if they are not. */
+  public Revision stopsStamp() {
+    return stopsStamp;
+  }
+
   /** The machine types as a leader last stored them; empty if none did. */
   public Map<String, MachineType> types() {
     return types;
   }
 
+  /** When the types were stored; none if they are not. */
+  public Revision typesStamp() {
+    return typesStamp;
+  }
+
   /** Whether there is a record of the job that can't be read. */
   public boolean unreadable(JobId id) {
     return unreadable.contains(Keys.job(id));
@@ -230,6 +257,20 @@
     return contact;
   }
 
+  /** Whether this copy holds everything that was stored up to the revision of this token. */
+  public boolean covers(Token token) {
+    return position.value() >= token.value();
+  }
+
+  /**
+   * Whether nobody can have been granted this token yet: each change is a request, and the service
+   * takes no more of them in the time since this copy was last confirmed.
+   */
+  public boolean beyond(Token token, Moment now) {
+    double most = (now.since(contact).asSeconds() + FEW_SECONDS) * requestsPerSecond * AMPLE;
+    return state == State.LIVE && token.value() - position.value() > most;
+  }
+
   /** Keeps the watch and the reads going. */
   public void tick(Moment now) {
     clock = now;
@@ -290,8 +331,10 @@
   private void watch(Moment now) {
     busy = true;
     long before = asked;
+    // Right after pages that took long to read, what they lag behind by is asked for at once.
+    Span hold = now.past(contact, STALE) && !failing ? Span.millis(0) : HOLD;
     outbox.call(
-        new Request.Watch(Keys.WATCHED, position, HOLD, Request.Urgency.LEADERSHIP),
+        new Request.Watch(Keys.WATCHED, position, hold, Request.Urgency.LEADERSHIP),
         answer -> {
           busy = false;
           if (!take(answer, now)) {
@@ -321,8 +364,11 @@
       return true;
     }
     if (answer instanceof Answer.Refused refused && refused.status() == 410) {
-      // The history was cut off behind us: read everything again.
-      enter(State.LOADING);
+      // The history was cut off behind us: read everything again, unless that has begun.
+      if (state == State.LIVE) {
+        enter(State.LOADING);
+        listener.historyLost(clock);
+      }
       return false;
     }
     failing = true;
@@ -331,7 +377,7 @@
 
   private void load(Moment now) {
     busy = true;
-    if (loadEpoch == null && pages == 0) {
+    if (loadEpoch == null) {
       loadBegan = now;
     }
     outbox.call(
@@ -363,7 +409,8 @@
             relays.keySet().retainAll(relaysOnPages);
             position = loadEpoch;
             enter(State.LIVE);
-            touched(now);
+            // What changed on the first page after it was read is yet to be seen.
+            touched(loadBegan);
           }
           tick(clock);
         });
@@ -395,7 +442,19 @@
     }
   }
 
-  private void apply(String key, Optional<StoredValue> value, Revision stamp) {
+  private void apply(String key, Optional<StoredValue> stored, Revision stamp) {
+    Optional<StoredValue> value = stored;
+    if (stored.isPresent()
+        && stored.get() instanceof JobRecord record
+        && !key.equals(Keys.job(record.spec().id()))) {
+      // Taken for what it says, it would make up a job that nobody submitted.
+      value = Optional.of(new StoredValue.Unreadable("record of job " + record.spec().id()));
+    }
+    if (key.equals(Keys.STOPS)) {
+      stopsStamp = value.isPresent() ? stamp : Revision.NONE;
+    } else if (key.equals(Keys.TYPES)) {
+      typesStamp = value.isPresent() ? stamp : Revision.NONE;
+    }
     if (key.equals(Keys.LEADER)) {
       if (stamp.compareTo(leaderStamp) <= 0) {
         return;
@@ -426,9 +485,10 @@
     } else if (key.startsWith(Keys.RELAYS)) {
       relays.remove(key);
       if (value.isPresent() && value.get() instanceof StoredValue.RelayRecord relay) {
-        relays.put(key, new Relayed(relay, stamp, clock, state == State.LIVE));
+        relays.put(key, new Relayed(relay, stamp, clock, contact, state == State.LIVE));
       }
     } else if (value.isPresent() && value.get() instanceof JobRecord record) {
+      unreadable.remove(key);
       KnownJob known = jobs.get(record.spec().id());
       if (known == null || known.stamp().compareTo(stamp) < 0) {
         KnownJob job = KnownJob.of(record, stamp);
