--- /dev/null
+++ b/src/test/java/org/oakwalk/core/capacity/CatalogueKeeperTest.java
@@ -0,0 +1,89 @@
+package org.oakwalk.core.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.job.Room;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.KnownJob;
+import org.oakwalk.core.store.LateStore;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+
+/** The stored machine types are those that were written last, also if an older write is late. */
+class CatalogueKeeperTest {
+  private final Outbox outbox = new Outbox();
+  private final LateStore store = new LateStore();
+  private final StoreView view = new StoreView(outbox, 200, 1);
+  private CatalogueKeeper keeper;
+  private Moment now = new Moment(0);
+
+  @BeforeEach
+  void leads() {
+    Revision token =
+        store.put(Keys.LEADER, new StoredValue.LeaderRecord(new NodeId("n"), "a", "life"));
+    view.listen(
+        new StoreView.Listener() {
+          @Override
+          public void leaderChanged(Moment at) {}
+
+          @Override
+          public void jobChanged(KnownJob known, Moment at) {}
+        });
+    keeper =
+        new CatalogueKeeper(
+            outbox, view, new Guard(Keys.LEADER, token), new Settings.StateLimits(100, 100, 64, 4));
+  }
+
+  private static Map<String, MachineType> types(String... names) {
+    Map<String, MachineType> types = new java.util.TreeMap<>();
+    for (String name : names) {
+      types.put(
+          name,
+          new MachineType(name, new Room(4, 0, 16), 10, 1, 1, 1, Span.seconds(1), List.of("a")));
+    }
+    return types;
+  }
+
+  private void tick(Map<String, MachineType> types, LateStore.Fate fate) {
+    for (int i = 0; i < 2; i++) {
+      now = now.plus(Span.seconds(6));
+      view.clock(now);
+      view.tick(now);
+      store.serve(outbox, commit -> fate);
+    }
+    keeper.tick(types, now);
+    store.serve(outbox, commit -> fate);
+  }
+
+  private Map<String, MachineType> stored() {
+    return ((StoredValue.TypesRecord) store.find(Keys.TYPES).orElseThrow().value()).types();
+  }
+
+  @Test
+  void olderTypesThatAreLateDoNotComeBack() {
+    tick(types("m"), LateStore.Fate.LATE);
+    tick(types("m", "n"), LateStore.Fate.SERVED);
+    store.carryOut(0);
+    assertThat(stored()).containsOnlyKeys("m", "n");
+  }
+
+  @Test
+  void aLostAnswerHoldsNothingUp() {
+    tick(types("m"), LateStore.Fate.ANSWER_LOST);
+    tick(types("m", "n"), LateStore.Fate.SERVED);
+    tick(types("m", "n"), LateStore.Fate.SERVED);
+    assertThat(stored()).containsOnlyKeys("m", "n");
+  }
+}
--- a/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
+++ b/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
@@ -195,6 +195,18 @@
     assertThat(store.below(Keys.DONE)).isEmpty();
   }
 
+  /** No report comes any more: what is stored must be enough. */
+  @Test
+  void aJobOfWhichAllIsStoredEndsWithoutAnyReport() {
+    accept("j-1", 2);
+    store.put(Keys.done(new JobId("j-1"), 0), new StoredValue.DoneChunk("03"));
+    Leader leader = new Leader(store, 1, new Moment(0));
+    steps(leader, store, 5, LateStore.Fate.SERVED);
+    JobRecord record = (JobRecord) store.find(Keys.job(new JobId("j-1"))).orElseThrow().value();
+    assertThat(record.phase()).isEqualTo(JobRecord.Phase.DONE);
+    assertThat(store.below(Keys.DONE)).isEmpty();
+  }
+
   /** Leaders that follow each other, with lost answers, refusals and late transactions. */
   @Test
   void whatWorkersMayForgetStaysStored() {
