--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/HandOverTest.java
@@ -0,0 +1,110 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+
+/**
+ * Leaders that end in small steps of time after each other, and are back a moment later, while jobs
+ * are submitted and cancelled: each step of a claim and of the recovery is met by an end.
+ */
+class HandOverTest {
+  private static final int STEP_MILLIS = 50;
+  private static final int STEPS = 30;
+  private static final double[] BACK = {0.1, 0.3, 0.9};
+  private static final int FIRST = 100;
+  private static final int JOBS = 32;
+
+  /** The leader ends, the next one so much later, and in the end all do. */
+  @TestFactory
+  List<DynamicTest> leadersEndAfterEachOther() {
+    return sweep(
+        (apart, back) ->
+            line("at 10 restart leading after=%.2f", back)
+                + line("at %.2f restart leading after=%.2f", 10 + apart, back)
+                + line("at %.2f restart leading after=%.2f", 10 + 2 * apart, back)
+                + line("at %.2f restart all after=%.2f", 16 + apart, back));
+  }
+
+  /** All end, one is back, and ends again in the middle of taking over; the others follow later. */
+  @TestFactory
+  List<DynamicTest> allEndAndOneReturns() {
+    return sweep(
+        (apart, back) ->
+            line("at 10 crash all")
+                + line("at %.2f restart node-1", 10 + back)
+                + line("at %.2f restart node-1 after=%.2f", 10 + back + apart, back)
+                + line("at %.2f restart node-0", 12 + apart)
+                + line("at %.2f refuse leading for=%.2f", 13 + apart, 3 * back)
+                + line("at 17 restart down"));
+  }
+
+  /** The leader loses the store, then all do, while leaders end. */
+  @TestFactory
+  List<DynamicTest> refusedAndEnding() {
+    return sweep(
+        (apart, back) ->
+            line("at 10 refuse leading for=%.2f", 3 + back)
+                + line("at %.2f outage state for=%.2f", 12.3 + apart, back)
+                + line("at %.2f restart leading after=%.2f", 12.4 + apart, back)
+                + line("at %.2f cut leading everybody for=%.2f", 14 + apart, 2 * back));
+  }
+
+  private interface Troubles {
+    String lines(double apart, double back);
+  }
+
+  private static List<DynamicTest> sweep(Troubles troubles) {
+    List<DynamicTest> tests = new ArrayList<>();
+    for (int step = 1; step <= STEPS; step++) {
+      double apart = step * STEP_MILLIS / 1000.0;
+      double back = BACK[step % BACK.length];
+      tests.add(
+          DynamicTest.dynamicTest(
+              line("%.2f s apart, back after %.1f s", apart, back).trim(),
+              () -> play(text(troubles.lines(apart, back), apart))));
+    }
+    return tests;
+  }
+
+  private static String text(String troubles, double apart) {
+    StringBuilder text = new StringBuilder();
+    text.append("settings nodes=3\ntype m cpus=4 mem=16 boot=10\nmachine m a 4\n");
+    text.append("capacity m a 4\n");
+    text.append(line("every 0.25 8 %.2f %d array tasks=2 run=3", 8 + JOBS * 0.25, FIRST));
+    text.append("at 3 submit j-1 service tasks=2\nat 3 submit j-2 service tasks=2\n");
+    text.append("at 4 submit j-3 array tasks=20 run=4\n");
+    text.append(line("at %.2f cancel j-2", 10 + apart + 0.05));
+    text.append(line("at %.2f cancel j-104", 10 + apart / 2));
+    text.append(line("at %.2f cancel j-112", 11.2 + apart));
+    text.append(troubles);
+    text.append("at 75 expect j-1 on least=2\nat 75 expect j-1 open\nat 75 expect j-2 cancelled\n");
+    text.append("at 75 expect j-2 on most=0\nat 75 expect j-3 done\n");
+    for (int job = FIRST; job < FIRST + JOBS; job++) {
+      if (job != 104 && job != 112) {
+        text.append(line("at 75 expect j-%d done", job));
+      }
+    }
+    return text.append("at 75 expect answered within=9 open\nend 76\n").toString();
+  }
+
+  private static String line(String form, Object... values) {
+    return String.format(Locale.ROOT, form, values) + "\n";
+  }
+
+  private static void play(String text) {
+    Outcome outcome;
+    try {
+      outcome = new Scenario(text).play();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError(e.getMessage() + "\n" + text, e);
+    }
+    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
+  }
+}
