--- a/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
+++ b/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
@@ -108,6 +108,35 @@
     assertThat(sent(Request.Commit.class)).isEmpty();
   }
 
+  /** What is withdrawn shows in reads alone, so nothing else may keep workers answered. */
+  @Test
+  void aRenewalDoesNotLengthenTheTimeForWhichWorkersAreAnswered() {
+    claims();
+    showsOwnKey(12);
+    Moment read = view.contact();
+    while (now.since(read).compareTo(Span.seconds(19.9)) < 0) {
+      now = now.plus(Span.millis(100));
+      leadership.tick(now);
+      sent(Request.Renew.class)
+          .ifPresent(renewal -> outbox.answered(renewal.call(), new Answer.Ok()));
+    }
+    assertThat(leadership.mayAnswer(now)).isTrue();
+    now = now.plus(Span.millis(100));
+    leadership.tick(now);
+    assertThat(leadership.state()).isEqualTo(Leadership.State.LEADING);
+    assertThat(leadership.mayAnswer(now)).isFalse();
+  }
+
+  /** Pages would show jobs that were stored under a later leader before that leader. */
+  @Test
+  void aLeaderWhoseHistoryIsLostGivesItsTokenUp() {
+    claims();
+    showsOwnKey(12);
+    leadership.historyLost(now);
+    assertThat(leadership.holdsToken()).isFalse();
+    assertThat(sent(Request.Drop.class)).isPresent();
+  }
+
   private void claims() {
     loads(List.of());
     leadership.tick(now);
