--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.Admission;
+import org.oakwalk.core.job.OpenQuestions;
 import org.oakwalk.core.job.UserDesk;
 import org.oakwalk.core.leadership.Leadership;
 import org.oakwalk.core.leadership.Lodging;
@@ -51,12 +52,14 @@
   private final ReportForwarding forwarding = new ReportForwarding();
   private final Lodging lodging = new Lodging();
   private final UserDesk desk;
+  private final OpenQuestions questions = new OpenQuestions();
   private final Catalogue catalogue;
   private Optional<LeaderTerm> term = Optional.empty();
   private Moment nextDigest = new Moment(Long.MIN_VALUE / 2);
   private Optional<NodeId> digestFrom = Optional.empty();
   private Moment digested = new Moment(Long.MIN_VALUE / 2);
   private Moment nextSummary = new Moment(Long.MIN_VALUE / 2);
+  private long strangeDigests;
   private Optional<Moment> handled = Optional.empty();
   private Set<JobId> suspects = Set.of();
   private Moment awake = new Moment(Long.MIN_VALUE / 2);
@@ -97,7 +100,7 @@
                             outbox,
                             view,
                             graceLimit,
-                            seen -> leadership().tokenSeen(seen, now),
+                            seen -> leadership().shownByWorker(seen, now),
                             at));
                 term.get().suspected(suspects);
               }
@@ -219,6 +222,9 @@
 
   private void tick() {
     view.tick(now);
+    for (ExchangeId late : questions.late(now)) {
+      outbox.respond(late, Response.unavailable("no answer in time", SOON));
+    }
     leadership.tick(now);
     relay.tick(leadership.holdsToken(), now);
     catalogue.tick(leadership.holdsToken(), view.types(), now);
@@ -269,7 +275,10 @@
 
   private Response report(Report report, boolean cutOff) {
     if (term.isPresent() && report.token().compareTo(term.get().token()) > 0) {
-      leadership.tokenSeen(report.token(), now);
+      // Whoever was granted it, this worker drops what is said under this node's token. If nobody
+      // was, it stays silent for this leader, and its machine is lost like others that are.
+      leadership.shownByWorker(report.token(), now);
+      return elsewhere();
     }
     if (term.isPresent() && leadership.mayAnswer(now)) {
       if (!term.get().readsReports()) {
@@ -280,7 +289,7 @@
       Optional<List<Order>> orders = term.get().report(report, cutOff, now);
       return orders.isPresent()
           ? new Response.Orders(term.get().token(), orders.get())
-          : Response.unavailable("machine types not known yet", SOON);
+          : Response.unavailable("no use can be made of the report", SOON);
     }
     return elsewhere();
   }
@@ -321,6 +330,7 @@
    * the leader has lost it as well, and the user is sent away at once.
    */
   private void serve(Event.UserAsks asks) {
+    questions.asked(asks.exchange(), asks.request(), now);
     desk.serve(
         asks.request(),
         response -> {
@@ -328,17 +338,23 @@
           if (unavailable && servingPeer().isPresent()) {
             forward(asks, response);
           } else {
-            outbox.respond(asks.exchange(), response);
+            answer(asks, response);
           }
         });
   }
 
+  private void answer(Event.UserAsks asks, Response response) {
+    if (questions.answered(asks.exchange())) {
+      outbox.respond(asks.exchange(), response);
+    }
+  }
+
   private void forward(Event.UserAsks asks, Response otherwise) {
     outbox.call(
         new Request.Tell(servingPeer().orElseThrow(), new PeerMessage.Forward(asks.request())),
         answer ->
-            outbox.respond(
-                asks.exchange(),
+            answer(
+                asks,
                 answer instanceof Answer.Told told
                         && told.message() instanceof PeerMessage.Forwarded forwarded
                     ? forwarded.response()
@@ -356,7 +372,13 @@
   }
 
   private void peer(Event.PeerSays says) {
-    if (says.message() instanceof PeerMessage.Digest digest) {
+    if (says.message() instanceof PeerMessage.Digest digest && view.beyond(digest.token(), now)) {
+      // Taken for true it would keep this node from leading, and from hearing who does.
+      if (strangeDigests++ == 0) {
+        LOG.error("digest of {}: nobody was granted token {}", digest.from(), digest.token());
+      }
+      outbox.respond(says.exchange(), Response.refusal(400, "no such token"));
+    } else if (says.message() instanceof PeerMessage.Digest digest) {
       leadership.tokenSeen(digest.token(), now);
       relay.heard(digest.token(), now);
       if (view.leader().filter(l -> l.token().compareTo(digest.token()) > 0).isEmpty()) {
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -59,10 +59,11 @@
     }
 
     /**
-     * How long after the begin of its last read of the store a leader may answer workers. What it
-     * does not know may have been withdrawn at that moment, and an answer keeps tasks alive for a
-     * lease. Settings that leave no time for that leave it an ordinary copy's lag, without which it
-     * could never answer.
+     * How long after a moment from which on a withdrawal may be unknown here, or its tasks may yet
+     * start, workers may be answered; for a leader that is the begin of its last read of the store.
+     * An answer keeps tasks alive for a lease, and by then their sessions end within {@code cancel}
+     * of that moment. Settings that leave no time for that leave it an ordinary copy's lag, without
+     * which it could never answer.
      */
     public Span graceLimit() {
       Span limit = cancel.minus(lease).minus(GRACE_MARGIN);
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
 import org.oakwalk.core.Attempt;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
@@ -252,6 +254,15 @@
       case "slow" -> hosts.worker(line.word(3)).slow(line.number("factor", 3));
       case "failboots" -> world.cloud.failBoots((int) line.number(3), line.text("zone", ""));
       case "slowboots" -> world.cloud.slowBoots(line.number(3));
+      case "misled" ->
+          Forgery.mislead(hosts.worker(line.word(3)), Long.parseLong(line.text("baton", "0")));
+      case "forged" ->
+          Forgery.report(hosts.worker(line.word(3)), line, hosts.nodes(line.text("to", "all")));
+      case "forgeddigest" ->
+          Forgery.digest(
+              hosts.nodes(line.word(3)).get(0),
+              Long.parseLong(line.text("token", "0")),
+              hosts.nodes(line.text("to", "all")));
       case "forget" -> world.state.forget(line.word(3));
       case "damage" -> world.state.damage(line.word(3));
       case "limit" ->
@@ -284,6 +295,9 @@
 
   private void submit(Words line, JobId id, String shape) {
     String due = line.text("due", "");
+    double[] runs =
+        Stream.of(line.text("run", "5").split(",")).mapToDouble(Double::parseDouble).toArray();
+    double longest = DoubleStream.of(runs).max().orElseThrow();
     String types = line.text("types", "");
     JobSpec spec =
         new JobSpec(
@@ -301,7 +315,7 @@
             line.has("spot"),
             line.text("image", "img"),
             line.number("gb", 0),
-            Span.seconds(line.number("guess", line.number("run", 0))),
+            Span.seconds(line.number("guess", line.text("run", "").isEmpty() ? 0 : longest)),
             Span.seconds(line.number("saves", 0)),
             Span.seconds(line.number("save", 0)),
             due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
@@ -314,7 +328,7 @@
     if (line.has("fails")) {
       world.failing.add(id);
     }
-    world.runSeconds.put(id, line.number("run", 5));
+    world.run(id, runs);
     SimUser user = new SimUser(world, spec);
     world.users.put(id, user);
     user.submit();
