--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -1,7 +1,6 @@
 package org.oakwalk.model;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -302,12 +301,6 @@
         line.number(
             "guess",
             line.text("run", "").isEmpty() ? 0 : DoubleStream.of(runs).max().orElseThrow());
-    if (line.text("longest", null) != null) {
-      double run = runs[0];
-      runs = new double[(int) line.number("tasks", 1)];
-      Arrays.fill(runs, run);
-      runs[runs.length - 1] = line.number("longest", run);
-    }
     String types = line.text("types", "");
     JobSpec spec =
         new JobSpec(
