--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -103,6 +103,9 @@
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
     this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
+    if (settings.teams().values().stream().noneMatch(Settings.Team::limited)) {
+      fleet.withoutLimits();
+    }
     this.dispatcher =
         new CommandDispatcher(
             outbox,
--- a/src/main/java/org/oakwalk/core/Settings.java
+++ b/src/main/java/org/oakwalk/core/Settings.java
@@ -21,7 +21,12 @@
     Span clockOff) {
 
   /** A team's guarantee and limit; zero means none. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /** Whether there is a limit to what it uses. */
+    public boolean limited() {
+      return cpusMax > 0 || gpusMax > 0;
+    }
+  }
 
   /** What is expected of a class of jobs. */
   public record Objective(
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -10,7 +10,8 @@
 final class OpenRuns {
   /**
    * How many tasks may be started by command in one session; each stays in the machine's reports
-   * until that session ends. Further ones start with the answers to reports.
+   * until that session ends, or where no team has a limit, until its job is stored as done. Further
+   * ones start with the answers to reports.
    */
   static final int MOST_BY_COMMAND = 100;
 
@@ -54,7 +55,12 @@
     return inCommand.containsKey(attempt);
   }
 
-  /** Whether no more starts may come by command in this session. */
+  /** A command that starts this task does no harm any more, whenever it comes. */
+  void harmless(TaskId task) {
+    byCommand.remove(task);
+  }
+
+  /** Whether no more starts may come by command for now. */
   boolean full() {
     return byCommand.size() >= MOST_BY_COMMAND;
   }
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -1,6 +1,7 @@
 package org.oakwalk.model;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -297,7 +298,16 @@
     String due = line.text("due", "");
     double[] runs =
         Stream.of(line.text("run", "5").split(",")).mapToDouble(Double::parseDouble).toArray();
-    double longest = DoubleStream.of(runs).max().orElseThrow();
+    double guess =
+        line.number(
+            "guess",
+            line.text("run", "").isEmpty() ? 0 : DoubleStream.of(runs).max().orElseThrow());
+    if (line.text("longest", null) != null) {
+      double run = runs[0];
+      runs = new double[(int) line.number("tasks", 1)];
+      Arrays.fill(runs, run);
+      runs[runs.length - 1] = line.number("longest", run);
+    }
     String types = line.text("types", "");
     JobSpec spec =
         new JobSpec(
@@ -315,7 +325,7 @@
             line.has("spot"),
             line.text("image", "img"),
             line.number("gb", 0),
-            Span.seconds(line.number("guess", line.text("run", "").isEmpty() ? 0 : longest)),
+            Span.seconds(guess),
             Span.seconds(line.number("saves", 0)),
             Span.seconds(line.number("save", 0)),
             due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
