--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -17,8 +17,11 @@
 final class Reconciler {
   private static final Logger LOG = LoggerFactory.getLogger(Reconciler.class);
 
-  /** By how much less than a lease after the last answer a session may end, answers' way apart. */
-  private static final Span LATE = Span.seconds(5);
+  /** How long the way of a report may take at most to tell that a session ended too early. */
+  private static final Span ON_ITS_WAY = Span.seconds(1);
+
+  /** A worker waits longer for an answer; reports that come closer together were held back. */
+  private static final Span LEAST_WAIT = Span.seconds(3);
 
   private final Fleet fleet;
   private final JobBook jobs;
@@ -131,7 +134,8 @@
     Span lease = timing.lease();
     if (!freshSession) {
       machine.hearing().sessionLives(lease.surelyPassed(), now);
-    } else if (!now.past(machine.renewed(), lease.minus(LATE))) {
+    } else if (now.past(machine.renewed(), LEAST_WAIT)
+        && !now.past(machine.renewed(), lease.minus(ON_ITS_WAY))) {
       // Had it taken the last answer, the session before would live on.
       LOG.info("machine {} does not hear", machine.id());
       machine.hearing().deaf(Hearing.State.NOT_THE_ANSWERS, now);
