--- a/src/main/java/org/oakwalk/wire/WorkerCodec.java
+++ b/src/main/java/org/oakwalk/wire/WorkerCodec.java
@@ -108,7 +108,9 @@
     return switch (status) {
       case 200 -> new Answer.Commanded(true, report(body));
       case 409 -> new Answer.Commanded(false, report(body));
-      default -> new Answer.Refused(status, "");
+      case 400 -> new Answer.Refused(status, "");
+      // Nothing that the protocol names: whoever answered so may have passed the command on.
+      default -> new Answer.Nothing("status " + status);
     };
   }
 
