Parts of vast arrays fit into a transaction

Where a transaction may hold 32 changes, full parts of three vast arrays took more than the 64 KiB it may have, so it was refused and tried again with half as many. ResultWriterTest, partsOfVastArraysFitIntoTransactions, fails without the bound.

--- a/src/main/java/org/oakwalk/core/job/ResultWriter.java
+++ b/src/main/java/org/oakwalk/core/job/ResultWriter.java
@@ -41,6 +41,9 @@
   private static final Span FLUSH_EVERY = Span.seconds(2);
   private static final Span RETRY = Span.millis(300);
 
+  /** Of the 64 KiB that a transaction may have, what parts take, their conditions left aside. */
+  private static final int MOST_BYTES = 44 * 1024;
+
   private final Outbox outbox;
   private final JobBook jobs;
   private final StoreView view;
@@ -185,6 +188,7 @@
     List<Guard> guards = new ArrayList<>(List.of(guard));
     List<Change> changes = new ArrayList<>();
     List<Part> parts = new ArrayList<>();
+    int bytes = 0;
     List<Job> dirty = jobs.unstored();
     dirty.removeIf(job -> aside.contains(job.id()));
     dirty.sort((a, b) -> a.dirtySince().compareTo(b.dirtySince()));
@@ -194,14 +198,13 @@
       for (int from = 0; from < job.spec().tasks() && changes.size() < budget; ) {
         int to = Math.min(job.spec().tasks(), from + DoneBits.CHUNK);
         Part part = new Part(job, snapshot, from, to);
-        if (job.hasUnstored(from, to) && !doubtful.contains(part.key())) {
+        if (job.hasUnstored(from, to) && !doubtful.contains(part.key()) && bytes < MOST_BYTES) {
+          String bits = DoneBits.encode(snapshot.get(from, to));
+          bytes += bits.length();
           parts.add(part);
           guards.add(new Guard(part.key(), stamps.getOrDefault(part.key(), Revision.NONE)));
           changes.add(
-              new Change.Put(
-                  part.key(),
-                  new StoredValue.DoneChunk(DoneBits.encode(snapshot.get(from, to))),
-                  Optional.empty()));
+              new Change.Put(part.key(), new StoredValue.DoneChunk(bits), Optional.empty()));
         }
         from = to;
       }
