--- a/src/main/java/org/oakwalk/wire/PeerCodec.java
+++ b/src/main/java/org/oakwalk/wire/PeerCodec.java
@@ -96,10 +96,17 @@
   }
 
   private static Map<JobId, PeerMessage.Counts> counts(JsonNode node) throws BadMessage {
+    if (!node.isObject()) {
+      throw new BadMessage("counts are malformed");
+    }
     Map<JobId, PeerMessage.Counts> counts = new HashMap<>();
     for (Map.Entry<String, JsonNode> field : node.properties()) {
       JsonNode pair = field.getValue();
-      if (!JobId.wellFormed(field.getKey()) || !pair.isArray() || pair.size() != 2) {
+      if (!JobId.wellFormed(field.getKey())
+          || !pair.isArray()
+          || pair.size() != 2
+          || !count(pair.get(0))
+          || !count(pair.get(1))) {
         throw new BadMessage("counts are malformed");
       }
       counts.put(
@@ -109,6 +116,10 @@
     return counts;
   }
 
+  private static boolean count(JsonNode node) {
+    return node.isIntegralNumber() && node.canConvertToInt() && node.intValue() >= 0;
+  }
+
   private static Set<JobId> suspects(Fields fields) throws BadMessage {
     Set<JobId> suspects = new HashSet<>();
     if (fields.has("suspects")) {
--- a/src/test/java/org/oakwalk/scenario/HandOverTest.java
+++ b/src/test/java/org/oakwalk/scenario/HandOverTest.java
@@ -26,7 +26,8 @@
   List<DynamicTest> leadersEndAfterEachOther() {
     return sweep(
         (apart, back) ->
-            line("at 10 restart leading after=%.2f", back)
+            "at 9.8 cut host-000001 nodes for=4\n"
+                + line("at 10 restart leading after=%.2f", back)
                 + line("at %.2f restart leading after=%.2f", 10 + apart, back)
                 + line("at %.2f restart leading after=%.2f", 10 + 2 * apart, back)
                 + line("at %.2f restart all after=%.2f", 16 + apart, back));
--- a/src/test/java/org/oakwalk/wire/WireTest.java
+++ b/src/test/java/org/oakwalk/wire/WireTest.java
@@ -291,6 +291,97 @@
     assertThat(read.entries().get(2).value()).isEqualTo(types);
   }
 
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "baton | -1",
+        "baton | 9223372036854775808",
+        "baton | 18446744073709551615",
+        "baton | 2.5",
+        "shift | -1",
+        "tick | -1",
+        "tick | \"88\"",
+        "warning_s | -1.0",
+        "warning_s | 1e12",
+        "pieces | {}",
+        "pieces | [7]",
+        "pieces | [{\"piece\":\"j-1/-3\",\"try\":1,\"status\":\"running\"}]",
+        "pieces | [{\"piece\":\"j-1/99999999\",\"try\":1,\"status\":\"running\"}]",
+        "pieces | [{\"piece\":\"j-1/3\",\"try\":-1,\"status\":\"running\"}]",
+        "pieces | [{\"piece\":\"j-1/3\",\"try\":1,\"status\":\"asleep\"}]",
+        "host | \"\"",
+        "leftovers | 1"
+      })
+  void refusesReportsThatCantBe(String field, String value) throws Exception {
+    ObjectNode report =
+        (ObjectNode)
+            JSON.readTree(
+                """
+                {"host":"host-1","addr":"10.1.0.232:9000","flavor":"g8","region":"a",
+                 "leftovers":true,"shift":1,"tick":88,"baton":41,"pieces":[]}
+                """);
+    assertThat(WorkerCodec.report(Pack.messagePack(report)).sequence()).isEqualTo(88);
+    report.set(field, JSON.readTree(value));
+    assertThatThrownBy(() -> WorkerCodec.report(Pack.messagePack(report)))
+        .isInstanceOf(BadMessage.class);
+  }
+
+  @Test
+  void refusesCountsOfPeersThatCantBe() throws Exception {
+    for (String counts : List.of("[-1,2]", "[1,-2]", "[1,4294967298]", "[\"1\",2]", "[1]", "3")) {
+      ObjectNode map = Pack.cborMap(PeerCodec.encode(digest()));
+      map.putObject("counts").set("j-1", JSON.readTree(counts));
+      assertThatThrownBy(() -> PeerCodec.decode(Pack.cbor(map)))
+          .as(counts)
+          .isInstanceOf(BadMessage.class);
+    }
+    ObjectNode map = Pack.cborMap(PeerCodec.encode(digest()));
+    map.put("counts", 3);
+    assertThatThrownBy(() -> PeerCodec.decode(Pack.cbor(map))).isInstanceOf(BadMessage.class);
+  }
+
+  /** Whatever is in a value, the answer that holds it is read. */
+  @Test
+  void valuesThatCantBeAreSetAsideOneByOne() throws Exception {
+    JobRecord record = new JobRecord(spec(), JobRecord.Phase.OPEN, new WallTime(5));
+    List<StoredValue> good =
+        List.of(
+            record,
+            new StoredValue.LeaderRecord(new NodeId("n"), "a", "x"),
+            new StoredValue.RelayRecord("a", new Token(4)),
+            new StoredValue.MachineRecord(new MachineId("h"), "1", "g8", "a", true),
+            new StoredValue.MachinesRecord(
+                List.of(new StoredValue.MachineRecord(new MachineId("h"), "1", "g8", "a", true))),
+            new StoredValue.StopsRecord(Map.of()));
+    List<String> strange =
+        List.of("null", "-1", "18446744073709551615", "1e300", "\"\"", "[]", "[null]", "{}");
+    for (StoredValue value : good) {
+      ObjectNode map = StateCodec.value(value);
+      List<String> names = new java.util.ArrayList<>();
+      map.fieldNames().forEachRemaining(names::add);
+      for (String name : names) {
+        for (String other : strange) {
+          ObjectNode bad = map.deepCopy();
+          bad.set(name, JSON.readTree(other));
+          ObjectNode page = Pack.map();
+          ArrayNode entries = page.putArray("entries");
+          entries.addObject().put("k", "x").put("stamp", 4).set("value", bad);
+          entries.addObject().put("k", "y").put("stamp", 5).set("value", StateCodec.value(record));
+          page.put("more", false).put("epoch", 9);
+          Answer.Page read =
+              (Answer.Page)
+                  StateCodec.decode(
+                      new Request.ReadPage("", Optional.empty(), Request.Urgency.REST),
+                      200,
+                      Pack.messagePack(page));
+          assertThat(read.entries().get(1).value()).as(bad.toString()).isEqualTo(record);
+        }
+      }
+    }
+  }
+
   @Test
   void machinesAreReadInBothForms() throws Exception {
     StoredValue.MachineRecord machine =
