--- a/src/main/java/org/oakwalk/model/Meetings.java
+++ b/src/main/java/org/oakwalk/model/Meetings.java
@@ -147,7 +147,9 @@
     int out = Math.min(OVER - at - 14, cancel - 10 + random.nextInt(25));
     add(
         "at %d refuse %s for=%.1f",
-        at, random.nextInt(4) == 0 ? "node-" + random.nextInt(nodes) : "leading", before + random.nextInt(10) - 4);
+        at,
+        random.nextInt(4) == 0 ? "node-" + random.nextInt(nodes) : "leading",
+        before + random.nextInt(10) - 4);
     add("at %.1f outage state for=%d", at + before, out);
     if (random.nextInt(3) == 0) {
       add("at %.1f restart leading after=0.2", at + before + random.nextInt(out));
