Ended attempts of done jobs are kept for three leases, not for the whole session

Cause: where teams have limits each start by command stayed in its machine's reports until the session ended.

--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -42,6 +42,9 @@
    */
   private static final Span START_MARGIN = Span.seconds(10);
 
+  /** Copies of messages come up to well over a lease late. */
+  private static final double KEPT_LEASES = 3;
+
   /** Why a task is stopped. */
   public enum Why {
     /** Its user has withdrawn the job. */
@@ -342,7 +345,7 @@
   /** Orders for a machine that has just reported by itself. */
   public List<Order> respond(Machine machine, Moment now) {
     machine.renewed(now);
-    List<Order> orders = new ArrayList<>(clears(machine));
+    List<Order> orders = new ArrayList<>(clears(machine, now));
     for (Placement placement : machine.placements()) {
       if (placement.halting()) {
         if (runLost(placement, now)) {
@@ -393,19 +396,19 @@
    * the worker forgets the attempt only as it gets the task's next one, on account of which it
    * refuses older ones.
    */
-  private List<Order> clears(Machine machine) {
+  private List<Order> clears(Machine machine, Moment now) {
     List<Order> orders = new ArrayList<>();
     machine
         .leftovers()
         .uncleared()
         .forEach(
             (attempt, done) -> {
-              if ((!machine.openRuns().mayRepeat(attempt.task())
-                      || mayComeAgain(attempt.task())
-                      || startsAnew(machine, attempt))
+              boolean repeats = machine.openRuns().mayRepeat(attempt.task());
+              boolean harmless = repeats && mayComeAgain(machine, attempt.task(), now);
+              if ((!repeats || harmless || startsAnew(machine, attempt))
                   && (!done || settled(attempt.task()))
                   && !machine.runOpen(attempt)) {
-                if (mayComeAgain(attempt.task())) {
+                if (harmless) {
                   machine.openRuns().harmless(attempt.task());
                 }
                 orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
@@ -425,14 +428,19 @@
   }
 
   /**
-   * Whether a start of this task that comes once more does no harm, whenever it comes. Its job is
-   * stored as done, so nobody can withdraw it, and the task only ends as done again; and there is
-   * no team with a limit which that could exceed for a moment. The worker may forget it then, and
-   * need not list it for the rest of a long session.
+   * Whether a start of this task that comes once more does no harm. Its job is stored as done, so
+   * nobody can withdraw it, and the task only ends as done again, as soon as it has its image.
+   * Where teams have limits, one that fetches its image could seem to exceed them, so there it is
+   * kept for some time in which a copy may be under way. For the rest of a long session the worker
+   * need not list it: reports that list all that ran would take most of a leader's time.
    */
-  private boolean mayComeAgain(TaskId task) {
-    return withoutLimits
-        && view.job(task.job()).filter(known -> known.phase() == JobRecord.Phase.DONE).isPresent();
+  private boolean mayComeAgain(Machine machine, TaskId task, Moment now) {
+    boolean over =
+        view.job(task.job()).filter(known -> known.phase() == JobRecord.Phase.DONE).isPresent();
+    return over
+        && (withoutLimits
+            || now.past(
+                machine.openRuns().overSince(task, now), timing.lease().times(KEPT_LEASES)));
   }
 
   private boolean settled(TaskId task) {
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -4,14 +4,14 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.oakwalk.core.Moment;
 import org.oakwalk.core.TaskId;
 
 /** Runs that were sent to a machine and may still be executed, by what carried them. */
 final class OpenRuns {
   /**
-   * How many tasks may be started by command in one session; each stays in the machine's reports
-   * until that session ends, or where no team has a limit, until its job is stored as done. Further
-   * ones start with the answers to reports.
+   * How many tasks that were started by command in one session may be kept in the machine's reports
+   * at a time. Further ones start with the answers to reports.
    */
   static final int MOST_BY_COMMAND = 100;
 
@@ -25,8 +25,12 @@
    */
   private final Set<TaskId> byCommand = new HashSet<>();
 
+  /** Since when the jobs of such tasks are known to be done. */
+  private final Map<TaskId, Moment> over = new HashMap<>();
+
   void clear() {
     byCommand.clear();
+    over.clear();
     inCommand.clear();
     inResponse.clear();
   }
@@ -55,9 +59,15 @@
     return inCommand.containsKey(attempt);
   }
 
+  /** Since when it is known that this task's job is done; that is now if it was not known. */
+  Moment overSince(TaskId task, Moment now) {
+    return over.computeIfAbsent(task, key -> now);
+  }
+
   /** A command that starts this task does no harm any more, whenever it comes. */
   void harmless(TaskId task) {
     byCommand.remove(task);
+    over.remove(task);
   }
 
   /** Whether no more starts may come by command for now. */
