--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -80,6 +80,9 @@
   private final Moment rose;
   private Moment clock;
 
+  /** When starts may be ordered, the time of day of the last tick; else nothing. */
+  private Optional<WallTime> placing = Optional.empty();
+
   LeaderTerm(
       Token token,
       Settings settings,
@@ -100,6 +103,9 @@
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
     this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
+    if (settings.teams().values().stream().noneMatch(Settings.Team::limited)) {
+      fleet.withoutLimits();
+    }
     this.dispatcher =
         new CommandDispatcher(
             outbox,
@@ -126,7 +132,7 @@
     this.gate =
         new Gate(
             policy.drains().budgetsOf(settings.teams().keySet()),
-            new StopLedger(outbox, guard, view.stops()),
+            new StopLedger(outbox, guard, view.stops(), view::stopsStamp),
             fleet,
             jobs,
             suspectAfter);
@@ -239,12 +245,16 @@
   Optional<List<Order>> report(Report report, boolean carried, Moment now) {
     clock = now;
     Optional<Machine> machine = fleet.report(report, true, now);
-    if (machine.isEmpty()) {
+    if (machine.isEmpty() || fleet.mustLapse(machine.get(), now)) {
       return Optional.empty();
     }
     machine.get().carried(carried);
     answered(report.machine(), now);
     evacuate(machine.get(), now);
+    if (machine.get().startsByAnswersOnly()) {
+      // What is placed after this answer would wait for the next one.
+      placing.ifPresent(wall -> round(now, wall));
+    }
     return Optional.of(fleet.respond(machine.get(), now));
   }
 
@@ -282,6 +292,7 @@
   /** Whether starts may be ordered: not while the token is in doubt for long. */
   void tick(Map<String, MachineType> known, boolean active, Moment now, WallTime wall) {
     clock = now;
+    placing = Optional.empty();
     tellRecovery(now);
     types = known;
     fleet.types(types);
@@ -306,6 +317,7 @@
       drainer.tick(recovery.complete(), now, wall);
       products.tick(types, recovery.complete(), now, wall);
       if (products.known()) {
+        placing = Optional.of(wall);
         round(now, wall);
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -11,6 +11,7 @@
 import org.oakwalk.core.Report;
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
+import org.oakwalk.core.TaskId;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.Request;
@@ -61,7 +62,9 @@
           if (placement.takeCommand()) {
             orders.add(Fleet.haltOrder(placement));
           }
-        } else if (machine.state() == Machine.State.UP && placement.takeCommand()) {
+        } else if (machine.state() == Machine.State.UP
+            && startsByCommand(machine, placement.task())
+            && placement.takeCommand()) {
           orders.add(new Order.Run(placement.task(), placement.attempt()));
         }
       }
@@ -71,19 +74,33 @@
     }
   }
 
+  /**
+   * Not beside an ended attempt, which has to be cleared in the same breath, and only so often in a
+   * session. What does not start by command starts with the answer to the next report.
+   */
+  private static boolean startsByCommand(Machine machine, TaskId task) {
+    return !machine.leftovers().remembers(task) && machine.openRuns().takesByCommand(task);
+  }
+
   /** A machine's report was answered under this token, whatever it is used for. */
   public void answered(MachineId machine, Moment now) {
     answered.put(machine, now);
   }
 
-  /** Shows the token to machines that have not confirmed it yet. */
+  /**
+   * Shows the token to machines that have not confirmed it yet, or that don't seem to hear; the
+   * answer shows that they do.
+   */
   public void push(Moment now) {
     int sent = 0;
     for (Machine machine : fleet.machines()) {
       if (sent == MOST_PUSHED) {
         return;
       }
-      if (machine.state() == Machine.State.UNCONFIRMED
+      boolean asked =
+          machine.state() == Machine.State.UNCONFIRMED
+              || machine.state() == Machine.State.UP && !machine.hearing().hears();
+      if (asked
           && !machine.commanding()
           && !machine.address().isEmpty()
           && !within(pushed, PUSH_EVERY, machine, now)
@@ -118,6 +135,7 @@
             runs.forEach(machine.openRuns()::commandSettled);
           }
           if (answer instanceof Answer.Commanded commanded) {
+            machine.hearing().answered();
             reported.accept(commanded.report());
             if (!commanded.executed() && machine.state() == Machine.State.UNCONFIRMED) {
               // The session was a guess; the report told the right one.
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -88,6 +88,7 @@
   private final Leftovers leftovers = new Leftovers();
   private boolean commanding;
   private final OpenRuns openRuns = new OpenRuns();
+  private final Hearing hearing = new Hearing();
 
   Machine(
       MachineId id,
@@ -290,6 +291,7 @@
     return state == State.UP
         && (duty == Duty.IN_USE || duty.fillsUp())
         && session().isPresent()
+        && hearing.hears()
         && !now.past(heard, suspectAfter)
         && !blockedUntil.isAfter(now);
   }
@@ -387,9 +389,9 @@
   }
 
   /** Takes over a report's session and number; true if a new session has begun. */
-  boolean advance(SessionId reported, long number) {
+  boolean advance(SessionId reported, long number, boolean own) {
     boolean first = session().isEmpty();
-    boolean fresh = sessions.advance(reported, number);
+    boolean fresh = sessions.advance(reported, number, own);
     if (first || fresh) {
       openRuns.clear();
     }
@@ -433,9 +435,17 @@
     return leftovers;
   }
 
-  /** Whether an ended attempt at this task is still on the machine, so that a run is refused. */
+  /**
+   * Whether an ended attempt at this task is still on the machine, so that a run is refused. One
+   * that is kept only since its start may come once more gives way to the next attempt.
+   */
   public boolean remembers(TaskId task) {
-    return leftovers.remembers(task);
+    return leftovers.remembers(task) && !(openRuns.mayRepeat(task) && !openRuns.containsAny(task));
+  }
+
+  /** Whether as many starts as may be have come by command in this session. */
+  public boolean startsByAnswersOnly() {
+    return openRuns.full();
   }
 
   /** Whether a command is out and unanswered. */
@@ -447,11 +457,37 @@
     commanding = on;
   }
 
+  /** Whether it takes what it is told; one that reports need not. */
+  public boolean hears() {
+    return hearing.hears();
+  }
+
+  Hearing hearing() {
+    return hearing;
+  }
+
   /** Runs that may still be executed later. */
   OpenRuns openRuns() {
     return openRuns;
   }
 
+  /**
+   * Whether its session has to end: a start was sent by command, may still be held up on the way,
+   * and its job has been withdrawn for so long. A session that others' reports keep alive would let
+   * it in whenever it arrives.
+   */
+  boolean mustLapse(Moment now, Span limit) {
+    for (Placement placement : placements.values()) {
+      Moment withdrawn = placement.job().withdrawnAfter();
+      if (withdrawn != null
+          && now.past(withdrawn, limit)
+          && openRuns.inCommand(new Try(placement.task(), placement.attempt()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Whether a run of this attempt may still be executed later. */
   boolean runOpen(Try attempt) {
     return openRuns.contains(attempt);
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.oakwalk.core.Controller;
@@ -16,6 +17,7 @@
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
+import org.oakwalk.core.port.PeerMessage;
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.port.Response;
 import org.oakwalk.core.port.UserRequest;
@@ -170,7 +172,7 @@
     }
   }
 
-  /** The state service answers 503 to this node alone. */
+  /** The state service answers 503 to this node alone, and its open watches wait meanwhile. */
   void refuse(double seconds) {
     refusedByStateUntil = world.time.now() + Math.round(seconds * 1000);
   }
@@ -241,10 +243,10 @@
           "state",
           back("state", then),
           reply -> {
-            if (world.time.now() < refusedByStateUntil) {
+            if (refusedByState()) {
               reply.accept(new Answer.Refused(503, "refused"));
             } else {
-              world.state.serve(state, reply);
+              serveState(state, reply);
             }
           });
     } else if (request instanceof Request.Cloud cloud) {
@@ -277,6 +279,21 @@
     }
   }
 
+  private boolean refusedByState() {
+    return world.time.now() < refusedByStateUntil;
+  }
+
+  /** Nobody is told what becomes of a transaction that is carried out late. */
+  private void serveState(Request.State request, Consumer<Answer> reply) {
+    OptionalLong late =
+        world.state.down() ? OptionalLong.empty() : world.lateness.ofWrite(id.value(), request);
+    if (late.isPresent()) {
+      world.time.after(late.getAsLong(), () -> world.state.serveLate((Request.Commit) request));
+    } else {
+      world.state.serve(request, reply, this::refusedByState);
+    }
+  }
+
   private Consumer<Answer> back(String from, Consumer<Answer> then) {
     return answer -> world.network.send(from, id.value(), () -> then.accept(answer));
   }
@@ -308,10 +325,22 @@
         });
   }
 
+  /** An old report comes once more; its answer goes to nobody. */
+  void reportAgain(Report report) {
+    if (world.time.now() >= fullUntil) {
+      take(exchange -> new Event.WorkerReports(exchange, report, false), response -> {});
+    }
+  }
+
   void ask(UserRequest request, Consumer<Response> then) {
     take(exchange -> new Event.UserAsks(exchange, request), then);
   }
 
+  /** Another controller says something, or somebody in its name. */
+  void told(PeerMessage message) {
+    take(exchange -> new Event.PeerSays(exchange, message), response -> {});
+  }
+
   void health(Consumer<Response> then) {
     take(Event.HealthAsked::new, then);
   }
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -21,6 +21,7 @@
   final Timeline time = new Timeline();
   final Network network = new Network(time);
   final Rules rules = new Rules(this);
+  final Lateness lateness;
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
@@ -32,7 +33,7 @@
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
-  final Map<JobId, Double> runSeconds = new HashMap<>();
+  private final Map<JobId, double[]> runs = new HashMap<>();
 
   /** Seconds of work that tasks have saved. */
   final Map<TaskId, Double> saved = new HashMap<>();
@@ -40,12 +41,25 @@
   final Map<JobId, SimUser> users = new LinkedHashMap<>();
   final Set<JobId> failing = new HashSet<>();
   int refusals;
+
+  /** Completed tasks of which a worker was told to forget the result. */
+  final Set<TaskId> forgotten = new HashSet<>();
+
+  /** Starts of such tasks. */
+  int reruns;
+
+  /** Users' questions to a node that runs, to which no answer came in time. */
+  int unheard;
+
   private int turn;
 
   World(Settings settings, Plans plans, Words base) {
     this.settings = settings;
     this.plans = plans;
     this.nights = new Nights(this, plans.dawns());
+    this.lateness =
+        new Lateness(
+            time, settings.workers().lease().asSeconds(), Math.round(base.number("seed", 1)));
     this.state = new SimState(time);
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
@@ -124,4 +138,15 @@
   Optional<SimNode> leader() {
     return nodes.stream().filter(SimNode::active).filter(SimNode::leads).findFirst();
   }
+
+  /** Sets how many seconds a job's tasks run, in the order of their numbers, and again. */
+  void run(JobId job, double... seconds) {
+    runs.put(job, seconds);
+  }
+
+  /** How many seconds a task runs. */
+  double runSeconds(TaskId task) {
+    double[] seconds = runs.get(task.job());
+    return seconds[task.index() % seconds.length];
+  }
 }
