--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -377,7 +377,7 @@
         placement.job().state() != Job.State.WITHDRAWN
             || !now.past(placement.ordered(), timing.cancel().minus(START_MARGIN));
     return placement.state() == Placement.State.ORDERED
-        && machine.state() == Machine.State.UP
+        && (machine.state() == Machine.State.UP || machine.state() == Machine.State.RETURNING)
         && !machine.commanding()
         && machine.runOpen(new Machine.Try(placement.task(), placement.attempt()))
         && inTime;
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -297,7 +297,10 @@
     String due = line.text("due", "");
     double[] runs =
         Stream.of(line.text("run", "5").split(",")).mapToDouble(Double::parseDouble).toArray();
-    double longest = DoubleStream.of(runs).max().orElseThrow();
+    double guess =
+        line.number(
+            "guess",
+            line.text("run", "").isEmpty() ? 0 : DoubleStream.of(runs).max().orElseThrow());
     String types = line.text("types", "");
     JobSpec spec =
         new JobSpec(
@@ -315,7 +318,7 @@
             line.has("spot"),
             line.text("image", "img"),
             line.number("gb", 0),
-            Span.seconds(line.number("guess", line.text("run", "").isEmpty() ? 0 : longest)),
+            Span.seconds(guess),
             Span.seconds(line.number("saves", 0)),
             Span.seconds(line.number("save", 0)),
             due.isEmpty() ? Optional.empty() : Optional.of(Span.seconds(Double.parseDouble(due))));
