--- a/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.oakwalk.core.JobId;
@@ -18,10 +17,10 @@
 import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.fleet.Placement;
 import org.oakwalk.core.fleet.Registry;
+import org.oakwalk.core.job.Arrays;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
 import org.oakwalk.core.job.JobSpec;
-import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.ResultWriter;
 import org.oakwalk.core.job.Room;
 import org.oakwalk.core.port.Answer;
@@ -80,26 +79,7 @@
   private Moment now = ROSE;
 
   private JobBook knowsOneJob() {
-    JobSpec spec =
-        new JobSpec(
-            new JobId("j-1"),
-            "c",
-            "crew",
-            JobSpec.Shape.ARRAY,
-            Priority.NORMAL,
-            10,
-            new Room(1, 0, 1),
-            Set.of(),
-            Optional.empty(),
-            false,
-            false,
-            false,
-            "img",
-            0,
-            Span.seconds(1),
-            Span.seconds(0),
-            Span.seconds(0),
-            Optional.empty());
+    JobSpec spec = Arrays.spec("j-1", 10);
     JobRecord record = new JobRecord(spec, JobRecord.Phase.OPEN, new WallTime(1));
     view.listen(
         new StoreView.Listener() {
