--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -4,7 +4,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
-/** Plays the lines of a scenario that disturb what hosts send to each other. */
+/** Plays the lines of a scenario that disturb what hosts and users send to each other. */
 final class Disturbances {
   private final World world;
   private final Hosts hosts;
@@ -37,6 +37,9 @@
       case "deaf" -> world.network.deafen(hosts.group(line.word(3)), seconds);
       case "latereports" -> world.lateness.reports(hosts.group(line.word(3)), line);
       case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
+      case "cancelnow" -> world.cancellations.now(line);
+      case "cancelatend" -> world.cancellations.atEnd(line);
+      case "oddrequests" -> world.oddRequests.begin(line);
       default -> {
         return false;
       }
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -199,6 +199,7 @@
     completed.add(task);
     world.figures.completed(task);
     budgets.completed(task);
+    world.cancellations.completed(task.job());
   }
 
   /** To be called now and then: tasks of cancelled jobs must be gone in time. */
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.oakwalk.core.Attempt;
+import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Order;
 import org.oakwalk.core.Report;
@@ -289,6 +290,20 @@
         answer -> {});
   }
 
+  /** Whether a task of this job is here, in whatever state but ended. */
+  boolean holds(JobId job) {
+    return tasks.entrySet().stream()
+        .anyMatch(entry -> entry.getKey().job().equals(job) && !entry.getValue().ended());
+  }
+
+  /** For how many seconds a task has worked here; 0 if it does not. */
+  double secondsRun(TaskId id) {
+    Task task = tasks.get(id);
+    return task == null || task.ended() || task.began > world.time.now()
+        ? 0
+        : (world.time.now() - task.began) / 1000.0 / slowness;
+  }
+
   Room used() {
     Room sum = Room.NONE;
     for (Task task : tasks.values()) {
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -30,6 +30,8 @@
     return switch (action) {
       case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
           line.number("for", 10);
+      case "cancelnow" -> line.number("hang", 0);
+      case "cancelatend", "oddrequests" -> line.number("for", 10);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
       case "latewrites" -> line.number("for", 10) + line.number("after", Lateness.MOST_FOR_WRITES);
       case "latereports" ->
