--- a/src/main/java/org/oakwalk/model/OddRequests.java
+++ b/src/main/java/org/oakwalk/model/OddRequests.java
@@ -58,8 +58,7 @@
       unfinished(next).ifPresent(job -> send(job, Optional.empty()));
     } else {
       JobId id = new JobId("j-" + numbers++);
-      Optional<JobSpec> spec =
-          impossible.get((int) (next / 4 % impossible.size())).apply(id);
+      Optional<JobSpec> spec = impossible.get((int) (next / 4 % impossible.size())).apply(id);
       spec.ifPresent(each -> world.specs.put(id, each));
       world.rules.submits(id);
       send(id, spec);
