--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -36,6 +36,7 @@
               line.has("runs"));
       case "deaf" -> world.network.deafen(hosts.group(line.word(3)), seconds);
       case "latereports" -> world.lateness.reports(hosts.group(line.word(3)), line);
+      case "closelooks" -> world.closeLooks.begin(line);
       case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
       default -> {
         return false;
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -418,6 +418,6 @@
                 Response.JobState.valueOf(line.word(4).toUpperCase(java.util.Locale.ROOT)),
                 0,
                 0);
-    world.rules.told(job, false, world.time.seconds(), answer);
+    world.rules.told(job, false, world.rules.moment(), answer, Optional.empty());
   }
 }
--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -35,6 +35,7 @@
     if (world.rules.submits(job)) {
       world.figures.submits(spec);
     }
+    world.closeLooks.asks(job);
     repeat(
         new UserRequest.Submit(job, Optional.of(spec), ""),
         world.time.seconds(),
@@ -71,6 +72,7 @@
       return;
     }
     world.rules.asksToCancel(job);
+    world.closeLooks.asks(job);
     repeat(
         new UserRequest.Withdraw(job),
         world.time.seconds(),
@@ -107,13 +109,18 @@
         });
   }
 
+  /** For how many milliseconds a user waits for an answer. */
+  static long waits(UserRequest request) {
+    return request instanceof UserRequest.Query ? QUERY_WAIT : OTHER_WAIT;
+  }
+
   /** Asks some node; calls back once, with null if no answer comes. */
   private void ask(UserRequest request, java.util.function.Consumer<Response> then) {
     Optional<SimNode> node = muted ? Optional.empty() : world.someNode();
-    double asked = world.time.seconds();
+    long asked = world.rules.moment();
     boolean[] over = new boolean[1];
     world.time.after(
-        request instanceof UserRequest.Query ? QUERY_WAIT : OTHER_WAIT,
+        waits(request),
         () -> {
           if (!over[0]) {
             over[0] = true;
@@ -130,7 +137,8 @@
                 response -> {
                   if (!over[0]) {
                     over[0] = true;
-                    world.rules.told(job, request instanceof UserRequest.Submit, asked, response);
+                    world.rules.told(
+                        job, request instanceof UserRequest.Submit, asked, response, node);
                     if (response instanceof Response.JobStatus) {
                       answeredAt = world.time.seconds();
                     }
@@ -141,7 +149,7 @@
 
   /** A late copy of a request: nobody waits for the answer any more, but it must not be wrong. */
   private void askAgain(UserRequest request) {
-    double asked = world.time.seconds();
+    long asked = world.rules.moment();
     world
         .someNode()
         .ifPresent(
@@ -150,6 +158,6 @@
                     request,
                     response ->
                         world.rules.toldAgain(
-                            job, request instanceof UserRequest.Submit, asked, response)));
+                            job, request instanceof UserRequest.Submit, asked, response, node)));
   }
 }
