--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -24,6 +24,7 @@
   final Lateness lateness;
   final Cancellations cancellations;
   final OddRequests oddRequests = new OddRequests(this);
+  final CloseLooks closeLooks;
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
@@ -62,6 +63,7 @@
     long seed = Math.round(base.number("seed", 1));
     this.lateness = new Lateness(time, settings.workers().lease().asSeconds(), seed);
     this.cancellations = new Cancellations(this, seed);
+    this.closeLooks = new CloseLooks(this, seed);
     this.state = new SimState(time);
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
