Scenario words: reports kept for the next leader, quick boots, rentals without an answer, cancellations at a named node

latereports fornext keeps copies until another controller begins to lead, and hands them to every one at that moment, some time later, or once that leader has acted; with held the report itself never comes. quickboots lets rented machines come up before their rental is answered, laterentals takes the answer away. expect laststart bounds starts after a confirmed cancellation, so that a start long before cancel_s is seen as well.

--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -35,7 +35,15 @@
               line.number("after", 90),
               line.has("runs"));
       case "deaf" -> world.network.deafen(hosts.group(line.word(3)), seconds);
-      case "latereports" -> world.lateness.reports(hosts.group(line.word(3)), line);
+      case "latereports" -> {
+        if (line.has("fornext")) {
+          world.keptReports.keep(hosts.group(line.word(3)), line);
+        } else {
+          world.lateness.reports(hosts.group(line.word(3)), line);
+        }
+      }
+      case "laterentals" -> world.cloud.lateRentals(seconds, line.number("after", 0));
+      case "quickboots" -> world.cloud.quickBoots(line.number(3));
       case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
       default -> {
         return false;
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -47,6 +47,8 @@
         + world.rules.totalStarts()
         + ", unheard "
         + world.unheard
+        + ", last start after a confirmed cancellation "
+        + world.rules.latestStart()
         + ", refusals "
         + world.refusals
         + ", machines "
@@ -123,6 +125,9 @@
       case "unheard" -> {
         return world.unheard <= line.number("most", 0);
       }
+      case "laststart" -> {
+        return world.rules.latestStart() <= line.number("most", 0);
+      }
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -57,24 +57,26 @@
     inFlight = true;
     NodeId to = world.nodes.get(node).id;
     Report report = worker.snapshot();
-    world.network.send(
-        worker.address(),
-        to.value(),
-        () ->
-            world
-                .node(to)
-                .report(
-                    report,
-                    response ->
-                        world.network.send(
-                            to.value(),
-                            worker.address(),
-                            () -> {
-                              if (number == reports && inFlight && worker.awake()) {
-                                inFlight = false;
-                                answered(response, sent, orders);
-                              }
-                            })));
+    if (!world.keptReports.sent(report)) {
+      world.network.send(
+          worker.address(),
+          to.value(),
+          () ->
+              world
+                  .node(to)
+                  .report(
+                      report,
+                      response ->
+                          world.network.send(
+                              to.value(),
+                              worker.address(),
+                              () -> {
+                                if (number == reports && inFlight && worker.awake()) {
+                                  inFlight = false;
+                                  answered(response, sent, orders);
+                                }
+                              })));
+    }
     if (!world.network.parted(worker.address(), to.value())) {
       world
           .lateness
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -44,6 +44,7 @@
   private final Map<String, String> broken = new LinkedHashMap<>();
 
   private double calmAfter;
+  private double latestStart;
 
   Rules(World world) {
     this.world = world;
@@ -67,6 +68,11 @@
     broken.putIfAbsent(rule, String.format("%.1f s: %s", world.time.seconds(), how));
   }
 
+  /** The latest start of a task of a cancelled job, in seconds after its user was told. */
+  double latestStart() {
+    return latestStart;
+  }
+
   int starts(TaskId task) {
     return starts.getOrDefault(task, 0);
   }
@@ -113,6 +119,9 @@
     checkPlace(machine, task, spec);
     checkQuota(spec.team());
     Double told = toldCancelled.get(task.job());
+    if (told != null) {
+      latestStart = Math.max(latestStart, world.time.seconds() - told);
+    }
     if (told != null && world.time.seconds() - told > cancelSeconds()) {
       breaks("ran_cancelled", task + " starts on " + machine.id);
     }
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -227,7 +227,7 @@
   private void act(Words line) {
     switch (line.word(2)) {
       case "submit" -> submit(line, new JobId(line.word(3)), line.word(4));
-      case "cancel" -> world.users.get(new JobId(line.word(3))).cancel();
+      case "cancel" -> cancel(line);
       case "crash" -> hosts.nodes(line.word(3)).forEach(SimNode::crash);
       case "restart" -> restart(line);
       case "refuse" ->
@@ -283,6 +283,16 @@
     }
   }
 
+  private void cancel(Words line) {
+    SimUser user = world.users.get(new JobId(line.word(3)));
+    String first = line.text("on", "");
+    if (first.isEmpty()) {
+      user.cancel();
+    } else {
+      hosts.nodes(first).forEach(user::cancelAt);
+    }
+  }
+
   /** They end and are back some time later, perhaps again and again; the same each time. */
   private void restart(Words line) {
     List<SimNode> who = List.copyOf(hosts.nodes(line.word(3)));
--- a/src/main/java/org/oakwalk/model/SimCloud.java
+++ b/src/main/java/org/oakwalk/model/SimCloud.java
@@ -20,6 +20,7 @@
   record Market(String type, String zone, boolean spot) {}
 
   private static final long DEATH_SHOWS = 30_000;
+  private static final double GOLDEN_RATIO = 0.618;
 
   private final World world;
   final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -32,6 +33,10 @@
   private int bootTrouble;
   private String bootTroubleZone = "";
   private double bootFactor = 1;
+  private double quickestWithin = -1;
+  private int quickOnes;
+  private long rentalsLateUntil;
+  private long rentalsLateBy;
   int rented;
   int released;
 
@@ -55,6 +60,29 @@
     bootFactor = factor;
   }
 
+  /**
+   * Machines that are rented from now on are up within so many seconds, the first one before the
+   * rental is answered.
+   */
+  void quickBoots(double within) {
+    quickestWithin = within;
+  }
+
+  /** Rentals that are asked for meanwhile get no answer, and are carried out so much later. */
+  void lateRentals(double seconds, double after) {
+    rentalsLateUntil = world.time.now() + Math.round(seconds * 1000);
+    rentalsLateBy = Math.round(after * 1000);
+  }
+
+  private double bootSeconds(MachineType type) {
+    if (quickestWithin < 0) {
+      return type.boot().asSeconds();
+    }
+    // Spread evenly, however many there are.
+    double share = quickOnes++ * GOLDEN_RATIO % 1;
+    return quickestWithin * share / bootFactor;
+  }
+
   SimWorker create(Market market, double bootSeconds) {
     MachineId id = new MachineId(String.format("host-%06d", numbers++));
     SimWorker worker = new SimWorker(world, id, types.get(market.type()), market);
@@ -63,6 +91,8 @@
     boolean here = bootTroubleZone.isEmpty() || bootTroubleZone.equals(market.zone());
     if (bootTrouble > 0 && bootSeconds > 0 && here) {
       bootTrouble--;
+    } else if (bootSeconds <= 0 && quickestWithin >= 0) {
+      worker.boot();
     } else {
       world.time.after(Math.round(bootSeconds * bootFactor * 1000), worker::boot);
     }
@@ -75,7 +105,11 @@
     } else if (request instanceof Request.FetchCatalog) {
       then.accept(new Answer.Catalog(types));
     } else if (request instanceof Request.Rent rent) {
-      then.accept(rent(rent));
+      if (world.time.now() < rentalsLateUntil) {
+        world.time.after(rentalsLateBy, () -> rent(rent));
+      } else {
+        then.accept(rent(rent));
+      }
     } else if (request instanceof Request.Release release) {
       released += release.machines().size();
       for (MachineId id : release.machines()) {
@@ -109,7 +143,7 @@
     capacity.merge(market, -count, Integer::sum);
     List<MachineId> ids = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      ids.add(create(market, types.get(rent.type()).boot().asSeconds()).id);
+      ids.add(create(market, bootSeconds(types.get(rent.type()))).id);
     }
     rented += count;
     asks.put(rent.ask(), ids);
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -213,7 +213,12 @@
   }
 
   private void handle(Event event) {
-    for (Effect effect : controller.handle(event, new Moment(world.time.now()), world.wall())) {
+    boolean led = controller.leads();
+    List<Effect> effects = controller.handle(event, new Moment(world.time.now()), world.wall());
+    if (!led && controller.leads()) {
+      world.keptReports.rises();
+    }
+    for (Effect effect : effects) {
       if (effect instanceof Effect.Respond respond) {
         Consumer<Response> then = open.remove(respond.exchange());
         if (then != null) {
--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -79,6 +79,19 @@
                 || response instanceof Response.Problem problem && problem.status() == 404);
   }
 
+  /** The first request goes to this node, repeated ones go where the load balancer sends them. */
+  void cancelAt(SimNode first) {
+    world.rules.asksToCancel(job);
+    ask(
+        new UserRequest.Withdraw(job),
+        Optional.of(first),
+        response -> {
+          if (!(response instanceof Response.JobStatus)) {
+            world.time.after(1000, this::cancel);
+          }
+        });
+  }
+
   private void repeat(UserRequest request, double since, Predicate<Response> settled) {
     if (world.time.seconds() - since > GIVES_UP) {
       return;
@@ -109,7 +122,13 @@
 
   /** Asks some node; calls back once, with null if no answer comes. */
   private void ask(UserRequest request, java.util.function.Consumer<Response> then) {
-    Optional<SimNode> node = muted ? Optional.empty() : world.someNode();
+    ask(request, muted ? Optional.empty() : world.someNode(), then);
+  }
+
+  private void ask(
+      UserRequest request,
+      Optional<SimNode> node,
+      java.util.function.Consumer<Response> then) {
     double asked = world.time.seconds();
     boolean[] over = new boolean[1];
     world.time.after(
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -304,6 +304,7 @@
     boolean same = known != null && known.attempt.equals(order.attempt());
     if (order instanceof Order.Run) {
       if (!same) {
+        world.keptReports.starts(order.attempt());
         start(order.task(), order.attempt(), known);
       }
     } else if (order instanceof Order.Halt halt) {
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -30,10 +30,12 @@
     return switch (action) {
       case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
           line.number("for", 10);
+      case "laterentals" -> line.number("for", 10) + line.number("after", 0);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
       case "latewrites" -> line.number("for", 10) + line.number("after", Lateness.MOST_FOR_WRITES);
       case "latereports" ->
-          line.number("for", 10) + line.number("after", Lateness.MOST_LEASES * lease);
+          line.number("for", 10)
+              + line.number("after", line.has("fornext") ? 0 : Lateness.MOST_LEASES * lease);
       case "restart" ->
           (line.number("times", 1) - 1) * line.number("every", 1) + line.number("after", 0);
       case "notice" -> line.number("in", 10);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -22,6 +22,7 @@
   final Network network = new Network(time);
   final Rules rules = new Rules(this);
   final Lateness lateness;
+  final KeptReports keptReports;
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
@@ -60,6 +61,7 @@
     this.lateness =
         new Lateness(
             time, settings.workers().lease().asSeconds(), Math.round(base.number("seed", 1)));
+    this.keptReports = new KeptReports(this, Math.round(base.number("seed", 1)));
     this.state = new SimState(time);
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
