--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -126,9 +126,7 @@
   }
 
   private void ask(
-      UserRequest request,
-      Optional<SimNode> node,
-      java.util.function.Consumer<Response> then) {
+      UserRequest request, Optional<SimNode> node, java.util.function.Consumer<Response> then) {
     double asked = world.time.seconds();
     boolean[] over = new boolean[1];
     world.time.after(
