--- a/src/main/java/org/oakwalk/model/OddRequests.java
+++ b/src/main/java/org/oakwalk/model/OddRequests.java
@@ -94,7 +94,7 @@
 
   /** Asks some node, again and again until there is an answer that says more than to wait. */
   private void send(JobId job, Optional<JobSpec> spec, double since) {
-    double asked = world.time.seconds();
+    long asked = world.rules.moment();
     boolean[] over = new boolean[1];
     Runnable retry =
         () -> {
@@ -114,7 +114,7 @@
                     new UserRequest.Submit(job, spec, spec.isEmpty() ? "a field is missing" : ""),
                     response -> {
                       if (!over[0]) {
-                        world.rules.toldAgain(job, true, asked, response);
+                        world.rules.toldAgain(job, true, asked, response, node);
                         if (response instanceof Response.Problem problem
                             && problem.status() >= 429) {
                           retry.run();
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -25,6 +25,7 @@
   final Cancellations cancellations;
   final OddRequests oddRequests = new OddRequests(this);
   final CloseLooks closeLooks;
+  final KeptReports keptReports;
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
@@ -64,6 +65,7 @@
     this.lateness = new Lateness(time, settings.workers().lease().asSeconds(), seed);
     this.cancellations = new Cancellations(this, seed);
     this.closeLooks = new CloseLooks(this, seed);
+    this.keptReports = new KeptReports(this, seed);
     this.state = new SimState(time);
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
