Scenario word noreports: machines that open no connection to a controller, while commands reach them

Reports sent by themselves get nowhere; what is sent to the machines, and the answers to it, pass. room-noreports-word fails without the word: nothing is returned then.

--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -35,6 +35,7 @@
               line.number("after", 90),
               line.has("runs"));
       case "deaf" -> world.network.deafen(hosts.group(line.word(3)), seconds);
+      case "noreports" -> world.noReports.begin(hosts.group(line.word(3)), seconds);
       case "latereports" -> world.lateness.reports(hosts.group(line.word(3)), line);
       case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
       default -> {
--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -1,6 +1,7 @@
 package org.oakwalk.model;
 
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.oakwalk.core.NodeId;
 import org.oakwalk.core.Report;
 import org.oakwalk.core.port.Response;
@@ -57,6 +58,28 @@
     inFlight = true;
     NodeId to = world.nodes.get(node).id;
     Report report = worker.snapshot();
+    if (!world.noReports.lose(worker.address())) {
+      send(
+          report,
+          to,
+          response -> {
+            if (number == reports && inFlight && worker.awake()) {
+              inFlight = false;
+              answered(response, sent, orders);
+            }
+          });
+    }
+    world.time.after(
+        ANSWER_WAIT,
+        () -> {
+          if (number == reports && inFlight) {
+            inFlight = false;
+            nextNode();
+          }
+        });
+  }
+
+  private void send(Report report, NodeId to, Consumer<Response> then) {
     world.network.send(
         worker.address(),
         to.value(),
@@ -67,28 +90,13 @@
                     report,
                     response ->
                         world.network.send(
-                            to.value(),
-                            worker.address(),
-                            () -> {
-                              if (number == reports && inFlight && worker.awake()) {
-                                inFlight = false;
-                                answered(response, sent, orders);
-                              }
-                            })));
+                            to.value(), worker.address(), () -> then.accept(response))));
     if (!world.network.parted(worker.address(), to.value())) {
       world
           .lateness
           .ofReport(worker.address())
           .ifPresent(late -> world.time.after(late, () -> world.node(to).reportAgain(report)));
     }
-    world.time.after(
-        ANSWER_WAIT,
-        () -> {
-          if (number == reports && inFlight) {
-            inFlight = false;
-            nextNode();
-          }
-        });
   }
 
   private void answered(Response response, Sent sent, BiConsumer<Response.Orders, Sent> then) {
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -28,7 +28,7 @@
 
   private static double lasts(Words line, String action, double lease) {
     return switch (action) {
-      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
+      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf", "noreports" ->
           line.number("for", 10);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
       case "latewrites" -> line.number("for", 10) + line.number("after", Lateness.MOST_FOR_WRITES);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -22,6 +22,7 @@
   final Network network = new Network(time);
   final Rules rules = new Rules(this);
   final Lateness lateness;
+  final NoReports noReports = new NoReports(time);
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
