--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -45,6 +45,7 @@
       }
       case "laterentals" -> world.cloud.lateRentals(seconds, line.number("after", 0));
       case "quickboots" -> world.cloud.quickBoots(line.number(3));
+      case "noreports" -> world.noReports.begin(hosts.group(line.word(3)), seconds);
       case "latewrites" -> world.lateness.writes(named(line.word(3)), line);
       case "cancelnow" -> world.cancellations.now(line);
       case "cancelatend" -> world.cancellations.atEnd(line);
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -290,8 +290,7 @@
    * @param asked the {@link #moment} at which the question was sent: its answer may be older than
    *     what anybody was told after that, but not older than what anybody was told before
    */
-  void told(
-      JobId job, boolean submission, long asked, Response response, Optional<SimNode> by) {
+  void told(JobId job, boolean submission, long asked, Response response, Optional<SimNode> by) {
     answers++;
     if (response instanceof Response.Problem problem) {
       if (problem.status() == 404 && asked >= toldAcceptedAt.getOrDefault(job, Long.MAX_VALUE)) {
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -28,7 +28,7 @@
 
   private static double lasts(Words line, String action, double lease) {
     return switch (action) {
-      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
+      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf", "noreports" ->
           line.number("for", 10);
       case "cancelnow" -> line.number("hang", 0);
       case "cancelatend", "oddrequests" -> line.number("for", 10);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -26,6 +26,7 @@
   final OddRequests oddRequests = new OddRequests(this);
   final CloseLooks closeLooks;
   final KeptReports keptReports;
+  final NoReports noReports = new NoReports(time);
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
