--- /dev/null
+++ b/src/main/java/org/oakwalk/model/CanRun.java
@@ -0,0 +1,51 @@
+package org.oakwalk.model;
+
+import java.util.Optional;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.fleet.MachineType;
+import org.oakwalk.core.job.JobSpec;
+
+/**
+ * Whether a job may be accepted, after the protocol's page alone: all fields are there, the team is
+ * known, a task fits a machine type that the job allows, and the team's limit allows one task of an
+ * array, and all tasks of what has to run at once.
+ */
+final class CanRun {
+  private static final double SLACK = 1e-6;
+
+  private final World world;
+
+  CanRun(World world) {
+    this.world = world;
+  }
+
+  /** Why the job may not be accepted; empty if it may. */
+  Optional<String> whyNot(JobId job) {
+    JobSpec spec = world.specs.get(job);
+    if (spec == null) {
+      return Optional.of("lacks a field");
+    }
+    Settings.Team team = world.settings.teams().get(spec.team());
+    if (team == null) {
+      return Optional.of("is of an unknown team");
+    }
+    if (world.cloud.types.values().stream().noneMatch(type -> fits(spec, type))) {
+      return Optional.of("fits no machine type that it allows");
+    }
+    int atOnce = spec.shape() == JobSpec.Shape.ARRAY ? 1 : spec.tasks();
+    boolean within =
+        within(team.cpusMax(), spec.room().cpus() * atOnce)
+            && within(team.gpusMax(), spec.room().gpus() * atOnce);
+    return within ? Optional.empty() : Optional.of("needs more than its team's limit");
+  }
+
+  private static boolean fits(JobSpec spec, MachineType type) {
+    return spec.room().fits(type.room())
+        && type.zones().stream().anyMatch(zone -> spec.allows(type.name(), zone, false));
+  }
+
+  private static boolean within(double limit, double amount) {
+    return limit <= 0 || amount <= limit + SLACK;
+  }
+}
--- a/src/main/java/org/oakwalk/model/Plans.java
+++ b/src/main/java/org/oakwalk/model/Plans.java
@@ -19,6 +19,9 @@
 
 /** What stands in the operators' files of a scenario: a node reads its file when it starts. */
 final class Plans {
+  /** Within so many seconds every controller has seen a plan that stands in its file. */
+  private static final double PLAN_SEEN_SECONDS = 20;
+
   private final Words base;
   private final List<Words> lines;
   private final Queueing order;
@@ -87,6 +90,20 @@
     return lines.stream().anyMatch(line -> line.word(0).equals("drain"));
   }
 
+  /** Whether room may be kept free for some jobs by what any file declares. */
+  boolean promisesRoom() {
+    return lines.stream()
+        .map(line -> line.word(0))
+        .anyMatch(word -> word.equals("headroom") || word.equals("exchange"));
+  }
+
+  /** Whether a plan may be about a machine that was rented then: it takes none that come later. */
+  boolean empties(double rentedSeconds) {
+    return lines.stream()
+        .filter(line -> line.word(0).equals("drain"))
+        .anyMatch(line -> rentedSeconds <= line.number("from", 0) + PLAN_SEEN_SECONDS);
+  }
+
   List<Budget> budgets() {
     return budgets;
   }
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -30,6 +30,8 @@
   private final BudgetRule budgets;
   private final CrowdedRule crowds;
   private final ExchangeRule exchanges;
+  private final WaitingRule waiting;
+  private final CanRun canRun;
   private final Map<TaskId, List<Place>> places = new HashMap<>();
   private final Map<String, Room> teamUse = new HashMap<>();
   private final Map<TaskId, Integer> starts = new HashMap<>();
@@ -56,12 +58,15 @@
     this.budgets = new BudgetRule(world);
     this.crowds = new CrowdedRule(world);
     this.exchanges = new ExchangeRule(world);
+    this.waiting = new WaitingRule(world);
+    this.canRun = new CanRun(world);
   }
 
   /** All troubles are over then; from then on every question about a job has to find an answer. */
   void calmAfter(double seconds) {
     calmAfter = seconds;
     exchanges.calmAfter(seconds);
+    waiting.calmAfter(seconds);
   }
 
   /** The broken rules, each with when and how it was first. */
@@ -101,6 +106,11 @@
     breaks("promise_taken_back", how);
   }
 
+  /** A controller that knows that a job is cancelled orders a start of one of its tasks. */
+  void startsCancelled(SimNode node, TaskId task) {
+    breaks("started_after_cancel", node.id + " orders a start of " + task);
+  }
+
   boolean hasCompleted(TaskId task) {
     return completed.contains(task);
   }
@@ -221,6 +231,7 @@
   void tick() {
     crowds.tick();
     exchanges.tick().forEach(this::breaks);
+    waiting.tick().ifPresent(how -> breaks("left_waiting", how));
     places.forEach(
         (task, at) -> {
           Double told = toldCancelled.get(task.job());
@@ -308,6 +319,11 @@
       breaks("invented", job + " is answered 200");
       return;
     }
+    Optional<String> whyNot = canRun.whyNot(job);
+    if (whyNot.isPresent()) {
+      breaks("accepted_wrongly", job + " " + whyNot.get());
+      return;
+    }
     Response.JobState before = toldFinal.get(job);
     boolean isFinal =
         status.state() == Response.JobState.DONE || status.state() == Response.JobState.CANCELLED;
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -378,6 +378,10 @@
   private void rogue(Words line) {
     TaskId task = TaskId.parse(line.word(3)).orElseThrow();
     SimWorker worker = hosts.worker(line.word(4));
+    if (!line.text("by", "").isEmpty()) {
+      hosts.nodes(line.text("by", "")).forEach(node -> node.orderStart(task, worker));
+      return;
+    }
     Token token = new Token(Long.MAX_VALUE >> 30);
     worker.command(
         new Request.Command(
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -8,12 +8,18 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.CallId;
 import org.oakwalk.core.Controller;
 import org.oakwalk.core.ExchangeId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
 import org.oakwalk.core.Report;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
@@ -34,6 +40,7 @@
   final NodeId id;
   final String zone;
   private Controller controller;
+  private KnownCancelled cancelled = new KnownCancelled();
   private int life;
   private int ends;
   private boolean up;
@@ -76,6 +83,7 @@
     up = true;
     open.clear();
     forgetStillness();
+    cancelled = new KnownCancelled();
     controller =
         new Controller(
             world.settingsOf(this),
@@ -218,16 +226,23 @@
     if (!led && controller.leads()) {
       world.keptReports.rises();
     }
-    for (Effect effect : effects) {
-      if (effect instanceof Effect.Respond respond) {
-        Consumer<Response> then = open.remove(respond.exchange());
-        if (then != null) {
-          outside(() -> then.accept(respond.response()));
-        }
-      } else if (effect instanceof Effect.Call call) {
-        int of = life;
-        outside(() -> call(call, of));
+    effects.forEach(this::carryOut);
+  }
+
+  private void carryOut(Effect effect) {
+    // What a follower hands back from the leader is not its own decision.
+    cancelled
+        .decides(effect)
+        .filter(order -> leads())
+        .ifPresent(order -> world.rules.startsCancelled(this, order.task()));
+    if (effect instanceof Effect.Respond respond) {
+      Consumer<Response> then = open.remove(respond.exchange());
+      if (then != null) {
+        outside(() -> then.accept(respond.response()));
       }
+    } else if (effect instanceof Effect.Call call) {
+      int of = life;
+      outside(() -> call(call, of));
     }
   }
 
@@ -237,7 +252,11 @@
         answer -> {
           if (!answered[0] && up && of == life) {
             answered[0] = true;
-            inside(() -> handle(new Event.Answered(call.call(), answer)));
+            inside(
+                () -> {
+                  cancelled.answered(call.request(), answer);
+                  handle(new Event.Answered(call.call(), answer));
+                });
           }
         };
     Request request = call.request();
@@ -284,6 +303,19 @@
     }
   }
 
+  /** A start leaves it that its core did not decide. */
+  void orderStart(TaskId task, SimWorker worker) {
+    List<Order> orders = List.of(new Order.Run(task, new Attempt(Long.MAX_VALUE >> 1)));
+    carryOut(
+        new Effect.Call(
+            new CallId(Long.MAX_VALUE),
+            new Request.Command(
+                worker.address(),
+                new Token(worker.token()),
+                new SessionId(worker.session()),
+                orders)));
+  }
+
   private boolean refusedByState() {
     return world.time.now() < refusedByStateUntil;
   }
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -121,7 +121,7 @@
   }
 
   void hang(double seconds) {
-    hangsUntil = world.time.now() + Math.round(seconds * 1000);
+    hangsUntil = Math.max(hangsUntil, world.time.now() + Math.round(seconds * 1000));
     world.time.after(
         Math.round(seconds * 1000),
         () -> {
@@ -146,6 +146,16 @@
     slowness = factor;
   }
 
+  /** Whether its tasks neither fail nor run more slowly than elsewhere. */
+  boolean sound() {
+    return !faulty && slowness <= 1;
+  }
+
+  /** When it was rented, in seconds. */
+  double rentedSeconds() {
+    return world.time.seconds() - (world.time.now() - rentedAt) / 1000.0;
+  }
+
   /** Whether the cloud has given notice that it takes the machine. */
   boolean noticed() {
     return noticeAt != Long.MAX_VALUE;
