--- a/src/main/java/org/oakwalk/cli/ExperimentCommand.java
+++ b/src/main/java/org/oakwalk/cli/ExperimentCommand.java
@@ -64,6 +64,11 @@
       description = "With --draw: troubles that overlap, while users cancel.")
   private boolean meetings;
 
+  @Option(
+      names = "--hunts",
+      description = "With --draw: meetings that operators hunt for, with teams at their limits.")
+  private boolean hunts;
+
   @Option(
       names = "--csv",
       paramLabel = "FILE",
@@ -98,6 +103,7 @@
         troubles = headroom ? troubles.withHeadroom() : troubles;
         troubles = products ? troubles.withProducts() : troubles;
         troubles = meetings ? troubles.withMeetings() : troubles;
+        troubles = hunts ? troubles.withHunts() : troubles;
         held &= play("seed " + seed, troubles.text());
       }
     }
--- a/src/main/java/org/oakwalk/model/Draw.java
+++ b/src/main/java/org/oakwalk/model/Draw.java
@@ -32,6 +32,7 @@
   private boolean headroom;
   private boolean products;
   private boolean meetings;
+  private boolean hunts;
 
   /** A draw; the same seed always gives the same. */
   public Draw(int seed) {
@@ -66,6 +67,12 @@
     return this;
   }
 
+  /** Meetings of the kinds that operators hunt for, with teams at their limits. */
+  public Draw withHunts() {
+    hunts = true;
+    return this;
+  }
+
   private void products() {
     add("dawn night every=600 lasts=600 classes=night margin=30");
     add("exchange swap takers=service givers=night,array dwell=5 patience=30");
@@ -116,10 +123,9 @@
         zones ? "a,b" : "a",
         report,
         cancel,
-        meetings ? " seed=" + (1 + random.nextInt(1000)) : "");
-    add("team crew");
-    add("team small max=6");
-    add("team guests");
+        meetings || hunts ? " seed=" + (1 + random.nextInt(1000)) : "");
+    Hunt hunt = new Hunt(random, nodes, machinesInAll(), zones, cancel);
+    lines.addAll(hunts ? hunt.teams() : List.of("team crew", "team small max=6", "team guests"));
     add("type m cpus=4 mem=16 boot=8");
     if (accelerators) {
       add("team tune gpumax=12");
@@ -142,7 +148,12 @@
     if (accelerators) {
       workOnAccelerators();
     }
-    if (meetings) {
+    int over = LAST_TROUBLE_ENDS;
+    if (hunts) {
+      lines.addAll(hunt.lines());
+      finite.addAll(hunt.finite());
+      over = hunt.ends();
+    } else if (meetings) {
       Meetings met = new Meetings(random, nodes, machinesInAll(), zones, cancel);
       lines.addAll(met.lines());
       finite.addAll(met.finite());
@@ -155,7 +166,10 @@
     add("at %d restart down", LAST_TROUBLE_ENDS);
     add("at %d cancel j-8", LAST_TROUBLE_ENDS + 2);
     add("at %d submit j-9 array tasks=4 run=3", LAST_TROUBLE_ENDS + 5);
-    int end = LAST_TROUBLE_ENDS + BACK_AFTER;
+    int end = over + BACK_AFTER;
+    if (hunts) {
+      lines.addAll(hunt.expected(end));
+    }
     if (accelerators) {
       finite.addAll(List.of("j-10", "j-12"));
       // While machines are replaced, one or the other is on its way at any moment.
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -125,6 +125,11 @@
       case "unheard" -> {
         return world.unheard <= line.number("most", 0);
       }
+      case "over" -> {
+        return world.rules.acceptedInOrder().stream()
+            .filter(job -> world.specs.get(job).jobClass().equals(line.word(4)))
+            .allMatch(world.rules::over);
+      }
       case "laststart" -> {
         return world.rules.latestStart() <= line.number("most", 0);
       }
--- /dev/null
+++ b/src/main/java/org/oakwalk/model/Hunt.java
@@ -0,0 +1,288 @@
+package org.oakwalk.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Draws the meetings that operators hunt for: one trouble of a newer kind, which one or two others
+ * of any kind join, while teams stand at their limits, arrays are bound to a zone, jobs come to
+ * their ends, and users cancel, repeat and look closely.
+ */
+final class Hunt {
+  /** Troubles go on until then at most; what they have made late comes after that. */
+  private static final int OVER = 80;
+
+  /** The newer kinds of trouble. */
+  private enum Kind {
+    MUTE_MACHINES,
+    RUSH,
+    RUSH_AS_REFUSED,
+    AT_THE_END,
+    CLOSE_LOOKS,
+    ODD_REQUESTS,
+    LOST_ANSWERS,
+    KEPT_REPORTS,
+    QUICK_BOOTS,
+    ZONE_LOSES_MACHINES,
+    STREAM,
+    OVERLOAD,
+    TEN_LEADERS,
+    ALL_AWAY,
+    ZONE_APART,
+    OLD_STARTS
+  }
+
+  private final UniformRandomProvider random;
+  private final Meetings meetings;
+  private final int nodes;
+  private final boolean zones;
+  private final int cancel;
+  private final List<String> lines = new ArrayList<>();
+  private final List<String> finite = new ArrayList<>();
+  private boolean stream;
+  private int ends = Draw.LAST_TROUBLE_ENDS;
+
+  Hunt(UniformRandomProvider random, int nodes, int machines, boolean zones, int cancel) {
+    this.random = random;
+    this.meetings = new Meetings(random, nodes, machines, zones, cancel);
+    this.nodes = nodes;
+    this.zones = zones;
+    this.cancel = cancel;
+  }
+
+  /** Limits of the teams that have none else: all stand at theirs, or one, or none. */
+  List<String> teams() {
+    boolean all = random.nextInt(3) == 0;
+    return List.of(
+        all ? "team crew max=" + (12 + random.nextInt(6)) : "team crew",
+        "team small max=6",
+        all ? "team guests max=" + (2 + random.nextInt(3)) : "team guests",
+        "team full max=" + (5 + random.nextInt(3)));
+  }
+
+  /** The jobs and the troubles. */
+  List<String> lines() {
+    int at = 10 + random.nextInt(20);
+    int lasts = 6 + random.nextInt(30);
+    jobs(at, lasts);
+    Kind[] kinds = Kind.values();
+    trouble(kinds[random.nextInt(kinds.length)], at, lasts);
+    int others = 1 + random.nextInt(2);
+    for (int i = 0; i < others; i++) {
+      int begins = at + random.nextInt(lasts - 2);
+      if (random.nextBoolean()) {
+        trouble(kinds[random.nextInt(kinds.length)], begins, 3 + random.nextInt(30));
+      } else {
+        lines.addAll(meetings.anyTrouble(begins, 3 + random.nextInt(30)));
+      }
+    }
+    lines.addAll(meetings.jobsAlone(at, lasts));
+    return lines;
+  }
+
+  /** Names of the jobs that have to be done in the end. */
+  List<String> finite() {
+    finite.addAll(meetings.finite());
+    return finite;
+  }
+
+  /** When the last trouble is over. */
+  int ends() {
+    return ends;
+  }
+
+  /** What has to hold in the end, but for jobs that have to be done. */
+  List<String> expected(int end) {
+    List<String> expected = new ArrayList<>(List.of("at " + end + " expect over ends"));
+    if (stream) {
+      expected.add("at " + end + " expect over stream");
+    }
+    return expected;
+  }
+
+  private void jobs(int at, int lasts) {
+    for (int i = 0; i < 4; i++) {
+      add(
+          "at %d submit j-4%d service class=spare tasks=%d team=%s",
+          4 + random.nextInt(at - 5), i, 1 + random.nextInt(2), i % 2 == 0 ? "full" : "crew");
+      add("at %d cancel j-4%d", Draw.LAST_TROUBLE_ENDS + 1, i);
+    }
+    // The team has more to do than it may at once.
+    add("at 5 submit j-45 array tasks=%d run=%d team=full", 8 + random.nextInt(8), 4);
+    finite.add("j-45");
+    add(
+        "at %d submit j-46 array tasks=%d run=%d %s",
+        4 + random.nextInt(at),
+        3 + random.nextInt(6),
+        4 + random.nextInt(20),
+        zones ? "zone=" + (random.nextBoolean() ? "a" : "b") : "");
+    finite.add("j-46");
+    add(
+        "at %d submit j-47 array tasks=%d run=%d onezone %s",
+        4 + random.nextInt(at),
+        3 + random.nextInt(6),
+        4 + random.nextInt(20),
+        random.nextBoolean() ? "saves=4 save=1" : "");
+    finite.add("j-47");
+    int first = Math.max(4, at - 4);
+    add(
+        "every %.1f %d %d 500 array class=ends tasks=%d run=%s",
+        1 + random.nextDouble(),
+        first,
+        Math.min(OVER - 5, first + 5 + lasts),
+        1 + random.nextInt(3),
+        random.nextBoolean() ? "3" : "2,5,8");
+  }
+
+  private void trouble(Kind kind, int at, int drawn) {
+    int lasts = Math.max(1, Math.min(drawn, OVER - at));
+    String node = random.nextBoolean() ? "leading" : "node-" + random.nextInt(nodes);
+    switch (kind) {
+      case MUTE_MACHINES -> add("at %d noreports %s for=%d", at, meetings.some(), lasts);
+      case RUSH -> rush(at + random.nextDouble(), Math.min(lasts, 1 + random.nextInt(14)));
+      case RUSH_AS_REFUSED -> rushAsRefused(at);
+      case AT_THE_END ->
+          add(
+              "at %d cancelatend class=ends for=%d share=%s within=%s",
+              at, lasts, share(), random.nextBoolean() ? "0" : "1.5");
+      case CLOSE_LOOKS ->
+          add(
+              "at %d closelooks for=%d every=%d rounds=%d early=%.1f %s",
+              at,
+              lasts,
+              1 + random.nextInt(20),
+              1 + random.nextInt(3),
+              random.nextInt(3) * 0.2,
+              random.nextInt(3) == 0 ? "ends=1 back=" + tenths() : "");
+      case ODD_REQUESTS -> add("at %d oddrequests for=%d", at, lasts);
+      case LOST_ANSWERS ->
+          add("at %d latewrites %s for=%d atonce share=%s", at, node, lasts, share());
+      case KEPT_REPORTS -> {
+        add(
+            "at %d latereports %s for=%d fornext share=%s %s",
+            at, meetings.some(), lasts, share(), random.nextBoolean() ? "acted" : "");
+        add("at %.1f restart leading after=%s", at + random.nextDouble() * lasts, tenths());
+      }
+      case QUICK_BOOTS -> quickBoots(at, lasts);
+      case ZONE_LOSES_MACHINES -> {
+        for (int i = 0; i < 2 + random.nextInt(2); i++) {
+          add(
+              "at %.1f %s %s",
+              at + random.nextDouble() * 3, random.nextBoolean() ? "die" : "take", meetings.host());
+        }
+      }
+      case STREAM -> stream(at, lasts);
+      case OVERLOAD -> overload(at, lasts);
+      case TEN_LEADERS -> {
+        double gap = Math.max(0.6, lasts / 10.0);
+        add("every %.1f %d %d restart leading after=%s", gap, at, at + lasts, tenths());
+        if (random.nextBoolean()) {
+          add("at %.1f outage state for=%d", at + random.nextDouble() * 3, Math.min(lasts, 15));
+        }
+      }
+      case ALL_AWAY -> add("at %d restart all after=%d", at, 8 + random.nextInt(16));
+      case ZONE_APART -> zoneApart(at);
+      default -> oldStarts(at, lasts);
+    }
+  }
+
+  private void rush(double at, int hang) {
+    add(
+        "at %.2f cancelnow %d class=spare%s",
+        at, 1 + random.nextInt(4), random.nextBoolean() ? " hang=" + hang : "");
+  }
+
+  /** The leader alone is refused as users cancel, and a second later all are, for very long. */
+  private void rushAsRefused(int at) {
+    int out = Math.min(OVER - at - 2, cancel - 5 + random.nextInt(15));
+    add("at %d refuse leading for=%d", at, 2 + random.nextInt(14));
+    rush(at + (random.nextBoolean() ? 0 : random.nextDouble()), 1 + random.nextInt(12));
+    add("at %.1f outage state for=%d", at + 0.5 + random.nextDouble(), out);
+  }
+
+  /** New machines get work while writes lag, and the leader ends. */
+  private void quickBoots(int at, int lasts) {
+    add("at %d quickboots %.1f", at, 0.2 + 0.3 * random.nextInt(6));
+    add(
+        "at %d submit j-48 array tasks=%d run=%d",
+        at, 10 + random.nextInt(20), 3 + random.nextInt(6));
+    if (!finite.contains("j-48")) {
+      finite.add("j-48");
+    }
+    switch (random.nextInt(3)) {
+      case 0 -> add("at %d latewrites leading for=%d share=%s", at, lasts, share());
+      case 1 -> add("at %d slownet nodes state for=%d by=0.9", at, lasts);
+      default -> add("at %d laterentals for=%d after=%d", at, lasts, random.nextInt(4));
+    }
+    add("at %.1f restart leading after=%s", at + random.nextDouble() * 4, tenths());
+  }
+
+  /** One-task jobs, four a second, a quarter of which is cancelled. */
+  private void stream(int at, int lasts) {
+    if (stream) {
+      return;
+    }
+    stream = true;
+    int until = at + Math.min(lasts, 25);
+    add(
+        "every 0.25 %d %d 1000 array class=stream tasks=1 run=%d",
+        at, until, 1 + random.nextInt(4));
+    for (int i = 0; i < 4 * (until - at); i += 4) {
+      add("at %.2f cancel j-%d", at + i / 4.0 + random.nextDouble() * 5, 1000 + i);
+    }
+  }
+
+  /** More work than room, urgent and not, over slow links. */
+  private void overload(int at, int lasts) {
+    for (int i = 0; i < 3; i++) {
+      String job = "j-6" + i;
+      if (!finite.contains(job)) {
+        finite.add(job);
+      }
+      add(
+          "at %d submit %s array tasks=%d run=%d priority=%s",
+          at + i,
+          job,
+          15 + random.nextInt(25),
+          2 + random.nextInt(6),
+          List.of("low", "normal", "high").get(i));
+    }
+    add(
+        "at %d slownet nodes %s for=%d by=%s",
+        at, random.nextBoolean() ? "workers" : "everybody", lasts, tenths());
+  }
+
+  private void zoneApart(int at) {
+    int lasts = Math.min(OVER - at, 11 + random.nextInt(30));
+    if (zones) {
+      add("at %d cut zone:a zone:b for=%d %s", at, lasts, random.nextBoolean() ? "hold" : "");
+      if (random.nextBoolean()) {
+        add("at %d cut zone:b state for=%d", at + random.nextInt(5), Math.max(1, lasts - 5));
+      }
+    } else {
+      add("at %d cut nodes workers for=%d", at, lasts);
+    }
+  }
+
+  /** Starts by command come once more, however long after. */
+  private void oldStarts(int at, int lasts) {
+    int after = 1 + random.nextInt(100);
+    int shortly = Math.min(lasts, 12);
+    add("at %d copies nodes workers for=%d after=%d runs", at, shortly, after);
+    ends = Math.max(ends, at + shortly + after);
+  }
+
+  private String share() {
+    return String.format(Locale.ROOT, "%.1f", 0.2 + 0.2 * random.nextInt(5));
+  }
+
+  private String tenths() {
+    return String.format(Locale.ROOT, "%.1f", 0.1 + 0.1 * random.nextInt(8));
+  }
+
+  private void add(String format, Object... words) {
+    lines.add(String.format(Locale.ROOT, format, words).trim());
+  }
+}
--- a/src/main/java/org/oakwalk/model/Meetings.java
+++ b/src/main/java/org/oakwalk/model/Meetings.java
@@ -47,9 +47,27 @@
     for (int i = 1; i <= others; i++) {
       trouble(kinds.get(i), at + random.nextInt(lasts - 2), 3 + random.nextInt(30));
     }
+    jobs(at, lasts);
+    return lines;
+  }
+
+  /** One trouble of any kind. */
+  List<String> anyTrouble(int at, int lasts) {
+    lines.clear();
+    trouble(random.nextInt(KINDS), at, lasts);
+    return List.copyOf(lines);
+  }
+
+  /** The jobs that users cancel, and those that end far apart, about a trouble. */
+  List<String> jobsAlone(int at, int lasts) {
+    lines.clear();
+    jobs(at, lasts);
+    return List.copyOf(lines);
+  }
+
+  private void jobs(int at, int lasts) {
     cancelled(at, lasts + 15);
     farApart(at);
-    return lines;
   }
 
   /** Names of the jobs that have to be done in the end. */
@@ -157,7 +175,7 @@
   }
 
   /** Some machines: one, those of a zone, or all. */
-  private String some() {
+  String some() {
     int draw = random.nextInt(4);
     if (draw == 0) {
       return "workers";
@@ -165,7 +183,7 @@
     return draw == 1 && zones ? "zone:b" : host();
   }
 
-  private String host() {
+  String host() {
     return String.format(Locale.ROOT, "host-%06d", random.nextInt(machines));
   }
 
