--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -47,6 +47,8 @@
         + world.rules.totalStarts()
         + ", unheard "
         + world.unheard
+        + ", last start after a confirmed cancellation "
+        + world.rules.latestStart()
         + ", refusals "
         + world.refusals
         + ", machines "
@@ -123,6 +125,14 @@
       case "unheard" -> {
         return world.unheard <= line.number("most", 0);
       }
+      case "over" -> {
+        return world.rules.acceptedInOrder().stream()
+            .filter(job -> world.specs.get(job).jobClass().equals(line.word(4)))
+            .allMatch(world.rules::over);
+      }
+      case "laststart" -> {
+        return world.rules.latestStart() <= line.number("most", 0);
+      }
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
