--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -183,6 +183,7 @@
       case "unaccepted" -> !world.rules.accepted(job);
       case "open" -> world.rules.accepted(job) && world.rules.told(job) == null;
       case "cancelled" -> world.rules.told(job) == Response.JobState.CANCELLED;
+      case "over" -> world.rules.over(job);
       case "on" ->
           world.rules.on(job) >= line.number("least", 0)
               && world.rules.on(job) <= line.number("most", 1e9);
--- a/src/test/java/org/oakwalk/scenario/LateWritesTest.java
+++ b/src/test/java/org/oakwalk/scenario/LateWritesTest.java
@@ -12,8 +12,10 @@
 
 /**
  * A small busy day on which the transactions of one writer get no answer and are carried out late,
- * while leaders end: each writer by the keys it writes, each for some delays. Every rule is
- * checked, that all work is done, and that no task is run again once its result was to be kept.
+ * or at once, so that other nodes read what the writer does not know to be stored, while leaders
+ * end: each writer by the keys it writes, each for some delays. Users ask at all nodes within
+ * milliseconds of all news. Every rule is checked, that all work is done, and that no task is run
+ * again once its result was to be kept.
  */
 class LateWritesTest {
   /** What is written, by whom and what that is. */
@@ -30,15 +32,16 @@
           "oak/done/",
           "oak/shared/");
 
-  private static final List<Double> DELAYS = List.of(2.0, 4.5, 7.0, 12.0);
+  /** When a transaction without an answer is carried out. */
+  private static final List<String> WHEN =
+      List.of("atonce", "after=2.0", "after=4.5", "after=7.0", "after=12.0");
 
   @TestFactory
   List<DynamicTest> lateWrites() {
     List<DynamicTest> tests = new ArrayList<>();
     for (String key : KEYS) {
-      for (double delay : DELAYS) {
-        String name = key + " " + delay + " s late";
-        tests.add(DynamicTest.dynamicTest(name, () -> play(day(key, delay))));
+      for (String when : WHEN) {
+        tests.add(DynamicTest.dynamicTest(key + " " + when, () -> play(day(key, when))));
       }
     }
     return tests;
@@ -49,7 +52,7 @@
     assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
   }
 
-  private static String day(String key, double delay) {
+  private static String day(String key, String when) {
     return String.format(
         Locale.ROOT,
         """
@@ -65,20 +68,21 @@
         drain all step=2 surge=2 patience=10 pause=2 from=14
         product version=1
         headroom serving team=crew replicas=1
+        at 2 closelooks for=100 every=4 early=0.5
         at 3 submit j-1 service tasks=3 priority=high
         at 4 submit j-2 array tasks=24 run=3,9,25
         at 4 submit j-3 array tasks=2 run=3,55
         at 5 submit j-4 array tasks=12 run=6 team=small
         at 6 submit j-5 service tasks=2 team=small
         # each writer has its late transactions three times: at the start of work, and round two changes of leader
-        at 2 latewrites leading for=6 share=0.5 after=%1$s key=%2$s
-        at 14 latewrites all for=9 share=0.6 after=%1$s key=%2$s
+        at 2 latewrites leading for=6 share=0.5 %1$s key=%2$s
+        at 14 latewrites all for=9 share=0.6 %1$s key=%2$s
         at 16 submit j-6 array tasks=6 run=4
         at 17 cancel j-5
         at 18 restart leading after=0.3
         at 21 cut zone:a zone:b for=22
         at 30 submit j-7 array tasks=3 run=2,20,5
-        at 32 latewrites all for=8 share=0.6 after=%1$s key=%2$s
+        at 32 latewrites all for=8 share=0.6 %1$s key=%2$s
         at 36 restart leading after=4
         at 37 submit j-8 array tasks=4 run=30
         at 39 cancel j-8
@@ -95,7 +99,7 @@
         at 140 expect j-8 on most=0
         end 140
         """,
-        delay,
+        when,
         key);
   }
 }
