--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -30,6 +30,8 @@
   private final BudgetRule budgets;
   private final CrowdedRule crowds;
   private final ExchangeRule exchanges;
+  private final WaitingRule waiting;
+  private final CanRun canRun;
   private final Map<TaskId, List<Place>> places = new HashMap<>();
   private final Map<String, Room> teamUse = new HashMap<>();
   private final Map<TaskId, Integer> starts = new HashMap<>();
@@ -46,6 +48,7 @@
   private final Map<String, String> broken = new LinkedHashMap<>();
 
   private double calmAfter;
+  private double latestStart;
 
   /** How many answers users have received. */
   private long answers;
@@ -55,12 +58,15 @@
     this.budgets = new BudgetRule(world);
     this.crowds = new CrowdedRule(world);
     this.exchanges = new ExchangeRule(world);
+    this.waiting = new WaitingRule(world);
+    this.canRun = new CanRun(world);
   }
 
   /** All troubles are over then; from then on every question about a job has to find an answer. */
   void calmAfter(double seconds) {
     calmAfter = seconds;
     exchanges.calmAfter(seconds);
+    waiting.calmAfter(seconds);
   }
 
   /** The broken rules, each with when and how it was first. */
@@ -72,6 +78,11 @@
     broken.putIfAbsent(rule, String.format("%.1f s: %s", world.time.seconds(), how));
   }
 
+  /** The latest start of a task of a cancelled job, in seconds after its user was told. */
+  double latestStart() {
+    return latestStart;
+  }
+
   int starts(TaskId task) {
     return starts.getOrDefault(task, 0);
   }
@@ -95,6 +106,11 @@
     breaks("promise_taken_back", how);
   }
 
+  /** A controller that knows that a job is cancelled orders a start of one of its tasks. */
+  void startsCancelled(SimNode node, TaskId task) {
+    breaks("started_after_cancel", node.id + " orders a start of " + task);
+  }
+
   boolean hasCompleted(TaskId task) {
     return completed.contains(task);
   }
@@ -118,6 +134,9 @@
     checkPlace(machine, task, spec);
     checkQuota(spec.team());
     Double told = toldCancelled.get(task.job());
+    if (told != null) {
+      latestStart = Math.max(latestStart, world.time.seconds() - told);
+    }
     if (told != null && world.time.seconds() - told > cancelSeconds()) {
       breaks("ran_cancelled", task + " starts on " + machine.id);
     }
@@ -204,6 +223,7 @@
     completed.add(task);
     world.figures.completed(task);
     budgets.completed(task);
+    world.cancellations.completed(task.job());
     world.closeLooks.completes(task);
   }
 
@@ -211,6 +231,7 @@
   void tick() {
     crowds.tick();
     exchanges.tick().forEach(this::breaks);
+    waiting.tick().ifPresent(how -> breaks("left_waiting", how));
     places.forEach(
         (task, at) -> {
           Double told = toldCancelled.get(task.job());
@@ -280,8 +301,7 @@
    * @param asked the {@link #moment} at which the question was sent: its answer may be older than
    *     what anybody was told after that, but not older than what anybody was told before
    */
-  void told(
-      JobId job, boolean submission, long asked, Response response, Optional<SimNode> by) {
+  void told(JobId job, boolean submission, long asked, Response response, Optional<SimNode> by) {
     answers++;
     if (response instanceof Response.Problem problem) {
       if (problem.status() == 404 && asked >= toldAcceptedAt.getOrDefault(job, Long.MAX_VALUE)) {
@@ -299,6 +319,11 @@
       breaks("invented", job + " is answered 200");
       return;
     }
+    Optional<String> whyNot = canRun.whyNot(job);
+    if (whyNot.isPresent()) {
+      breaks("accepted_wrongly", job + " " + whyNot.get());
+      return;
+    }
     Response.JobState before = toldFinal.get(job);
     boolean isFinal =
         status.state() == Response.JobState.DONE || status.state() == Response.JobState.CANCELLED;
