--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserDesk.java
@@ -228,8 +228,10 @@
             List.of(new Change.Put(key, record, Optional.empty())),
             Request.Urgency.WITHDRAWAL),
         reply -> {
-          if (reply instanceof Answer.Committed) {
+          if (reply instanceof Answer.Committed committed) {
             LOG.info("job {} withdrawn", job.id());
+            // If this node leads it may order no start once the user has been told.
+            view.written(record, committed.epoch());
             answer.accept(
                 new Response.JobStatus(false, job.id(), Response.JobState.CANCELLED, 0, 0));
           } else if (reply instanceof Answer.Conflict) {
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -298,6 +298,14 @@
     read(now);
   }
 
+  /**
+   * This node's own write of a job was applied. It counts here at once: the watch may bring it a
+   * good while after others were told of it.
+   */
+  public void written(JobRecord record, Revision stamp) {
+    apply(Keys.job(record.spec().id()), Optional.of(record), stamp);
+  }
+
   private void read(Moment now) {
     if (reading || waiting.isEmpty() || nextRead.isAfter(now) || state != State.LIVE) {
       return;
--- a/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
+++ b/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
@@ -66,6 +66,9 @@
                   List.of(
                       "every 3.1 7 56 cut workers leading for=1.6 hold",
                       "every 6.2 8 56 restart leading after=0.1")),
+              Map.entry(
+                  "end lost on its way to the store",
+                  List.of("every 2.3 6.1 56 cut leading state for=1.3")),
               Map.entry("slow store", List.of("at 5 slownet nodes state by=0.25 for=55")),
               Map.entry(
                   "store refuses leader and followers in turn",
--- /dev/null
+++ b/src/test/java/org/oakwalk/wire/SubmissionTest.java
@@ -0,0 +1,110 @@
+package org.oakwalk.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.oakwalk.core.port.UserRequest;
+
+/** Submissions that lack a field, or have one of another type or beyond its bounds. */
+class SubmissionTest {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private static final String JOB =
+      """
+      {"ref":"j-000412","jobclass":"train","crew":"vision","shape":"sweep","urgency":"high",
+       "pieces":16,"vcpus":8.0,"accelerators":1.0,"memory_gb":64.0,"bundle":"img-07","size_gb":6.2,
+       "flavors":["g8"],"region":null,"same_place":true,"spread":false,"leftovers":true,
+       "guess_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0}
+      """;
+
+  /** Each field of a job: what is left out, null or of another type is named; bounds are kept. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "jobclass | \"x\" | [7, true, \"\", [], {}]",
+        "crew | \"x\" | [7, true, \"\", [], {}]",
+        "shape | \"daemon\" | [7, true, \"\", \"SWEEP\", [], {}]",
+        "urgency | \"best_effort\" | [7, true, \"\", \"low\", [], {}]",
+        "pieces | 100000 | [0, -1, 100001, 1.5, 1e3, \"1\", true, [], 4294967297, 1e30]",
+        "vcpus | 0 | [-0.001, 1.1e9, \"1\", true, [], {}]",
+        "accelerators | 1000000000 | [-1, 1000000001, \"1\", false, []]",
+        "memory_gb | 0.5 | [-1, 1e300, \"1\", true, [], {}]",
+        "bundle | \"x\" | [7, true, \"\", [], {}]",
+        "size_gb | 0 | [-1, \"1\", true, []]",
+        "same_place | false | [0, 1, \"true\", [], {}]",
+        "spread | true | [0, 1, \"true\", [], {}]",
+        "leftovers | true | [0, 1, \"true\", [], {}]",
+        "guess_s | 0 | [-1, \"1\", true, [], 1.1e9]",
+        "snapshot_every_s | 0 | [-1, \"1\", true, []]",
+        "snapshot_s | 0 | [-1, \"1\", true, []]"
+      })
+  void everyFieldIsNeeded(String field, String good, String bad) throws Exception {
+    ObjectNode job = (ObjectNode) JSON.readTree(JOB);
+    job.set(field, JSON.readTree(good));
+    assertThat(UserCodec.submission(Pack.messagePack(job)).spec()).isPresent();
+    List<ObjectNode> malformed = new ArrayList<>();
+    malformed.add(job.deepCopy().without(field));
+    malformed.add(job.deepCopy().putNull(field));
+    for (JsonNode value : JSON.readTree(bad)) {
+      malformed.add(job.deepCopy().set(field, value));
+    }
+    for (ObjectNode each : malformed) {
+      UserRequest.Submit request = UserCodec.submission(Pack.messagePack(each));
+      assertThat(request.spec()).as(each.toString()).isEmpty();
+      assertThat(request.problem()).contains(field);
+    }
+  }
+
+  /** What may be null may be left out, and is refused like the rest if it is of another type. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "flavors | [\"g8\", \"x\"] | [7, true, \"g8\", [], [7], [null], {}]",
+        "region | \"a\" | [7, true, \"\", [], {}]",
+        "due_s | 0 | [-1, \"1\", true, [], {}]"
+      })
+  void whatMayBeNullMayBeLeftOut(String field, String good, String bad) throws Exception {
+    ObjectNode job = (ObjectNode) JSON.readTree(JOB);
+    for (ObjectNode each :
+        List.<ObjectNode>of(
+            job.deepCopy().without(field),
+            job.deepCopy().putNull(field),
+            job.deepCopy().set(field, JSON.readTree(good)))) {
+      assertThat(UserCodec.submission(Pack.messagePack(each)).spec()).isPresent();
+    }
+    for (JsonNode value : JSON.readTree(bad)) {
+      job.set(field, value);
+      UserRequest.Submit request = UserCodec.submission(Pack.messagePack(job));
+      assertThat(request.spec()).as(job.toString()).isEmpty();
+      assertThat(request.problem()).contains(field);
+    }
+  }
+
+  /** Without a job's id nobody can tell whether it is known; it is malformed as a whole. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {"null", "7", "true", "\"\"", "\"j-\"", "\"J-1\"", "\"j-1/0\"", "\"j-1 \"", "[]"})
+  void refusesAnIdOfAnotherForm(String id) throws Exception {
+    ObjectNode job = (ObjectNode) JSON.readTree(JOB);
+    job.set("ref", JSON.readTree(id));
+    assertThatThrownBy(() -> UserCodec.submission(Pack.messagePack(job)))
+        .isInstanceOf(BadMessage.class)
+        .hasMessageContaining("ref");
+    job.remove("ref");
+    assertThatThrownBy(() -> UserCodec.submission(Pack.messagePack(job)))
+        .isInstanceOf(BadMessage.class);
+  }
+}
