--- a/src/main/java/org/oakwalk/model/CanRun.java
+++ b/src/main/java/org/oakwalk/model/CanRun.java
@@ -9,7 +9,8 @@
 /**
  * Whether a job may be accepted, after the protocol's page alone: all fields are there, the team is
  * known, a task fits a machine type that the job allows, and the team's limit allows one task of an
- * array, and all tasks of what has to run at once.
+ * array, and all tasks of what has to run at once; these also have room in the zones by the share of
+ * them that one zone may hold.
  */
 final class CanRun {
   private static final double SLACK = 1e-6;
@@ -37,7 +38,12 @@
     boolean within =
         within(team.cpusMax(), spec.room().cpus() * atOnce)
             && within(team.gpusMax(), spec.room().gpus() * atOnce);
-    return within ? Optional.empty() : Optional.of("needs more than its team's limit");
+    if (!within) {
+      return Optional.of("needs more than its team's limit");
+    }
+    return spec.spread() && atOnce > 1 && zones(spec) * ((atOnce + 1) / 2) < atOnce
+        ? Optional.of("has to be spread and may be in one zone only")
+        : Optional.empty();
   }
 
   private static boolean fits(JobSpec spec, MachineType type) {
@@ -45,6 +51,19 @@
         && type.zones().stream().anyMatch(zone -> spec.allows(type.name(), zone, false));
   }
 
+  /** How many zones its tasks may be in at once. */
+  private int zones(JobSpec spec) {
+    long zones =
+        world.settings.zones().stream()
+            .filter(zone -> spec.zone().isEmpty() || spec.zone().get().equals(zone))
+            .filter(
+                zone ->
+                    world.cloud.types.values().stream()
+                        .anyMatch(type -> fits(spec, type) && type.zones().contains(zone)))
+            .count();
+    return spec.oneZone() ? 1 : (int) zones;
+  }
+
   private static boolean within(double limit, double amount) {
     return limit <= 0 || amount <= limit + SLACK;
   }
