--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -286,10 +286,11 @@
   private void cancel(Words line) {
     SimUser user = world.users.get(new JobId(line.word(3)));
     String first = line.text("on", "");
-    if (first.isEmpty()) {
+    List<SimNode> asked = first.isEmpty() ? List.of() : hosts.nodes(first);
+    if (asked.isEmpty()) {
       user.cancel();
     } else {
-      hosts.nodes(first).forEach(user::cancelAt);
+      user.cancelAt(asked.get(0));
     }
   }
 
