--- a/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
+++ b/src/test/java/org/oakwalk/core/leadership/LeadershipTest.java
@@ -127,6 +127,34 @@
     assertThat(leadership.mayAnswer(now)).isFalse();
   }
 
+  /** Its lease may live on, and nobody else may tell it. */
+  @Test
+  void aLeaderWhoseKeyIsRemovedFallsAtOnce() {
+    claims();
+    showsOwnKey(12);
+    shows(new News(Keys.LEADER, Optional.empty(), new Revision(15)));
+    assertThat(leadership.holdsToken()).isFalse();
+    assertThat(sent(Request.Drop.class)).isPresent();
+  }
+
+  @Test
+  void aLeaderWhoseKeyIsAnothersFallsAtOnce() {
+    claims();
+    showsOwnKey(12);
+    Entry others = key(new NodeId("m"), "present", 15);
+    shows(new News(others.key(), Optional.of(others.value()), others.stamp()));
+    assertThat(leadership.holdsToken()).isFalse();
+  }
+
+  /** The key stands with a claim of this life that was carried out late: not under this token. */
+  @Test
+  void aLeaderWhoseKeyIsWrittenAnewFallsAtOnce() {
+    claims();
+    showsOwnKey(12);
+    showsOwnKey(15);
+    assertThat(leadership.holdsToken()).isFalse();
+  }
+
   /** Pages would show jobs that were stored under a later leader before that leader. */
   @Test
   void aLeaderWhoseHistoryIsLostGivesItsTokenUp() {
