A lease that was renewed before the list of machines was read counts from that answer

A new leader answers workers while it reads what older leaders left, which renews their leases. A machine that was then out of reach counted from when the list of machines was asked for, up to 1.2 s earlier where the store answers slowly, and half a second of that is covered by the margin; so its tasks might have been taken for over before they were. Seen in the code and by a unit test of the recovery, not in a scenario.

--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -236,6 +236,7 @@
 
   /** A worker was answered before its report could be made use of. */
   void answered(MachineId machine, Moment now) {
+    recovery.renewedUnread(now);
     if (!recovery.complete()) {
       dispatcher.answered(machine, now);
     }
--- a/src/main/java/org/oakwalk/core/recovery/Recovery.java
+++ b/src/main/java/org/oakwalk/core/recovery/Recovery.java
@@ -105,11 +105,25 @@
     return state == State.COMPLETE;
   }
 
-  /** The last moment at which an earlier leader may have renewed a worker's lease. */
+  /**
+   * The last moment at which a worker's lease may have been renewed unseen: by an earlier leader,
+   * or by this one before it read reports.
+   */
   public Moment lastForeignRenewal() {
     return lastForeignRenewal;
   }
 
+  /**
+   * A worker was answered under this leader's token, though its report could not be made use of
+   * yet. That renewed its lease later than the moment at which the list of machines was asked for,
+   * from which the lease of a machine that is not heard again would else be counted.
+   */
+  public void renewedUnread(Moment now) {
+    if (!readsReports() && now.isAfter(lastForeignRenewal)) {
+      lastForeignRenewal = now;
+    }
+  }
+
   /** A peer says that it acts under no older token any more; only those that led lately matter. */
   public void settled(NodeId peer, Moment now) {
     if (unsettledPeers.remove(peer)
--- a/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
@@ -141,6 +141,23 @@
     }
   }
 
+  /**
+   * While the list of machines is being read, which may take over a second, a worker is answered
+   * and then out of reach: its lease counts from that answer, not from when the list was asked for.
+   */
+  @Test
+  void whatIsAnsweredBeforeReportsAreReadRenewsALease() {
+    outbox.answered(read(Keys.DONE).call(), new Answer.Page(List.of(), false, new Revision(9)));
+    Effect.Call machines = (Effect.Call) outbox.drain().get(0);
+    now = now.plus(Span.seconds(5));
+    recovery.renewedUnread(now);
+    Moment answered = now;
+    outbox.answered(machines.call(), new Answer.Page(List.of(), false, new Revision(9)));
+    assertThat(recovery.readsReports()).isTrue();
+    recovery.renewedUnread(now.plus(Span.seconds(1)));
+    assertThat(recovery.lastForeignRenewal()).isEqualTo(answered);
+  }
+
   @Test
   void eachStepIsTriedUntilItIsAnswered() {
     for (Answer answer :
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/OldReportsAtANewLeaderTest.java
@@ -0,0 +1,126 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+
+/**
+ * The first that a new leader hears of machines is old: copies of their reports were kept for it
+ * and reach every controller as it begins, in each step of its recovery, or once it has acted. Then
+ * the newest reports come, or none, since the machines are cut off.
+ */
+class OldReportsAtANewLeaderTest {
+  /** They arrive the moment it begins, and in steps after that. */
+  private static final double[] AFTER = {0, 0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1, 1.5, 2.5, 5, 9, 14};
+
+  /** The last reports to the old leader, and the machines go on after them. */
+  @TestFactory
+  List<DynamicTest> ofTheOldLeadersTime() {
+    return sweep(
+        (after, how) ->
+            line("at 8.2 latereports workers for=1.6 fornext after=%.2f %s", after, how)
+                + "at 10 restart leader after=0.1\n");
+  }
+
+  /** And some machines are heard of by nothing else for a while, or for longer than their lease. */
+  @TestFactory
+  List<DynamicTest> ofMachinesThatAreCutOff() {
+    return sweep(
+        (after, how) ->
+            line("at 8.2 latereports workers for=1.6 fornext after=%.2f %s", after, how)
+                + "at 9.8 cut host-000000 nodes for=6\nat 9.8 cut host-000001 nodes for=16\n"
+                + "at 10 restart leader after=0.1\n");
+  }
+
+  /** Machines began a new session since, and run other tasks, or none. */
+  @TestFactory
+  List<DynamicTest> ofTheSessionBefore() {
+    return sweep(
+        (after, how) ->
+            line("at 6 latereports workers for=2 fornext after=%.2f %s", after, how)
+                + "at 8 cut host-000000 nodes for=13\nat 8 cut host-000001 nodes for=13\n"
+                + "at 24 cut host-000000 nodes for=4\nat 24.1 restart leader after=0.1\n");
+  }
+
+  /** The reports themselves never came: all of the last seconds are held back. */
+  @TestFactory
+  List<DynamicTest> heldBackUntilItHasActed() {
+    return sweep(
+        (after, how) ->
+            line("at 7 latereports workers for=3.5 fornext held after=%.2f %s", after, how)
+                + "at 10 restart leader after=0.1\n");
+  }
+
+  /** They carry the new leader's own token: it answers before it can make use of reports. */
+  @TestFactory
+  List<DynamicTest> underItsOwnToken() {
+    return sweep(
+        (after, how) ->
+            "at 9.9 slownet nodes state by=0.4 for=7\n"
+                + line("at 11 latereports workers for=3 after=%.2f", 1 + after)
+                + "at 10 restart leader after=0.1\n"
+                + line("at %.2f cut host-000000 nodes for=12", 13 + after % 1)
+                + line("at %.2f cut host-000001 nodes for=5", 13.2 + after % 1));
+  }
+
+  /** Two leaders begin within seconds. */
+  @TestFactory
+  List<DynamicTest> twoLeadersInARow() {
+    return sweep(
+        (after, how) ->
+            line("at 8.2 latereports workers for=5 fornext after=%.2f %s", after, how)
+                + "at 10 restart leader after=0.1\n"
+                + "at 11.3 restart leading after=0.1\nat 12.9 restart leading after=0.1\n");
+  }
+
+  private interface Troubles {
+    String lines(double after, String how);
+  }
+
+  private static List<DynamicTest> sweep(Troubles troubles) {
+    List<DynamicTest> tests = new ArrayList<>();
+    for (double after : AFTER) {
+      for (String how : List.of("", "acted")) {
+        tests.add(
+            DynamicTest.dynamicTest(
+                line("%.2f s after it %s", after, how.isEmpty() ? "began" : how).trim(),
+                () -> play(text(troubles.lines(after, how)))));
+      }
+    }
+    return tests;
+  }
+
+  /** A team at its limit, tasks that end and begin all the time, and one job that is cancelled. */
+  private static String text(String troubles) {
+    return "settings nodes=3\nteam crew max=16\ntype m cpus=4 mem=16 boot=10\nmachine m a 5\n"
+        + "capacity m a 3\n"
+        + "at 3 submit j-1 service tasks=4\nat 3 submit j-2 service tasks=3\n"
+        + "at 3 submit j-3 array tasks=40 run=1.3\nat 3 submit j-4 array tasks=12 run=6\n"
+        + "every 0.5 6 18 100 array tasks=2 run=0.8\n"
+        + "at 9.9 cancel j-2\n"
+        + troubles
+        + "at 89 expect j-1 on least=4\nat 89 expect j-2 cancelled\nat 89 expect j-2 on most=0\n"
+        + "at 89 expect j-3 done\nat 89 expect j-4 done\nat 89 expect j-100 done\n"
+        + "at 89 expect j-123 done\nat 89 expect answered within=9 open\nend 90\n";
+  }
+
+  private static String line(String form, Object... values) {
+    return String.format(Locale.ROOT, form, values) + "\n";
+  }
+
+  private static void play(String text) {
+    Outcome outcome;
+    try {
+      outcome = new Scenario(text).play();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError(e.getMessage() + "\n" + text, e);
+    }
+    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
+  }
+}
