--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/LimitsTest.java
@@ -0,0 +1,217 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+
+/**
+ * Three teams stand at their limits, one of them in accelerators, as jobs are cancelled whose
+ * machines can't be asked and the leader changes, in small steps of time. Jobs come all the while,
+ * so that some are stored after the takeover and may be placed before anything is known of those
+ * machines. No limit is exceeded, and once the machines are back or gone their room is used.
+ */
+class LimitsTest {
+  private static final int STEP_MILLIS = 150;
+  private static final int STEPS = 24;
+  private static final double[] BACK = {0.1, 0.9, 4.0};
+
+  /** When the first trouble comes. */
+  private static final double BEGIN = 12;
+
+  /** All troubles are over by then, and so are the leases of what was out of reach. */
+  private static final double PROVEN = 60;
+
+  /** Each team's stream of jobs, by its first number, and what its tasks take. */
+  private static final String[] STREAMS = {"100 red", "200 blue", "300 green"};
+
+  private static final int JOBS = 40;
+
+  /** Machines with cancelled tasks are cut off, some messages to and from them come late. */
+  @TestFactory
+  List<DynamicTest> cutOff() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f cut of:j-1/0 nodes for=20 hold", BEGIN)
+                + line("at %.2f cut of:j-12/0 nodes for=14", BEGIN)
+                + line("at %.2f cut of:j-21/0 nodes for=17 hold", BEGIN + apart)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
+  }
+
+  /** They confirm to the new leader, but are long in doing what it orders. */
+  @TestFactory
+  List<DynamicTest> slowToEndThem() {
+    List<String> slow = List.of("j-1/0", "j-12/0", "j-21/0");
+    return sweep(
+        (apart, back) ->
+            line(
+                    "at %.2f slownet of:%s nodes by=%.2f for=25",
+                    BEGIN, slow.get((int) Math.round(apart * 1000 / STEP_MILLIS) % 3), 0.2 + apart / 2)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
+  }
+
+  /** So many are cut off that none is returned, and they never come back. */
+  @TestFactory
+  List<DynamicTest> cutOffForGood() {
+    return sweep(
+        (apart, back) -> {
+          StringBuilder lines = new StringBuilder();
+          for (int machine = 0; machine < 8; machine++) {
+            // Some before the new leader can ask them, some just after they have confirmed.
+            double at = machine % 2 == 0 ? BEGIN : BEGIN + apart + back + 2.5;
+            lines.append(line("at %.2f cut host-00000%d nodes for=200", at, machine));
+          }
+          return lines.append(line("at %.2f restart leading after=%.2f", BEGIN + apart, back))
+              .toString();
+        });
+  }
+
+  /** They hang, and go on within their leases or after them. */
+  @TestFactory
+  List<DynamicTest> hanging() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f hang of:j-1/0 for=%.2f", BEGIN, 8 + apart)
+                + line("at %.2f hang of:j-12/0 for=30", BEGIN)
+                + line("at %.2f hang of:j-21/0 for=%.2f", BEGIN + apart, 3 + apart)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
+  }
+
+  /** Leaders end one after the other; some machines can be reached by command alone, some hear nothing. */
+  @TestFactory
+  List<DynamicTest> leadersInARow() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f noreports of:j-1/0 for=20", BEGIN)
+                + line("at %.2f deaf of:j-12/0 for=22", BEGIN)
+                + line("at %.2f noreports of:j-21/0 for=9", BEGIN + apart)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back)
+                + line("at %.2f restart leading after=%.2f", BEGIN + 2 * apart + 0.4, back)
+                + line("at %.2f restart leading after=%.2f", BEGIN + 3 * apart + 3, back)
+                + line("at %.2f restart all after=%.2f", BEGIN + 12 + apart, back));
+  }
+
+  /** The cloud takes spot machines meanwhile, and new ones come up as the leader ends. */
+  @TestFactory
+  List<DynamicTest> spotWaveAndNewMachines() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f notice host-000008 in=%.2f", BEGIN - 4, 3 + apart)
+                + line("at %.2f take host-000009", BEGIN - 3)
+                + line("at %.2f notice host-000010 in=%.2f", BEGIN - 2, 2 + 2 * apart)
+                + line("at %.2f cut of:j-1/0 nodes for=15", BEGIN)
+                + line("at %.2f hang of:j-21/0 for=14", BEGIN)
+                + line("at %.2f latewrites leading for=6 key=machines/", BEGIN - 3)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
+  }
+
+  /** The list of machines can't be read by the next leaders. */
+  @TestFactory
+  List<DynamicTest> damagedRecords() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f damage machines/", BEGIN)
+                + line("at %.2f cut of:j-1/0 nodes for=15 hold", BEGIN)
+                + line("at %.2f cut of:j-21/0 nodes for=6", BEGIN + apart)
+                + line("at %.2f hang of:j-12/0 for=14", BEGIN)
+                + line("at %.2f restart leading after=%.2f", BEGIN + apart, back)
+                + line("at %.2f restart leading after=%.2f", BEGIN + 2 * apart + 5, back));
+  }
+
+  /** A zone is cut off for longer than a lease; followers keep its leases alive. */
+  @TestFactory
+  List<DynamicTest> zoneCutOff() {
+    return sweep(
+        (apart, back) ->
+            line("at %.2f cut zone:a zone:b for=25 hold", BEGIN)
+                + line("at %.2f cut of:j-22/0 nodes for=20", BEGIN + 2 * apart)
+                + line("at %.2f restart leading after=%.2f", BEGIN + 2 + 2 * apart, back));
+  }
+
+  private interface Troubles {
+    String lines(double apart, double back);
+  }
+
+  private static List<DynamicTest> sweep(Troubles troubles) {
+    List<DynamicTest> tests = new ArrayList<>();
+    for (int step = 1; step <= STEPS; step++) {
+      double apart = step * STEP_MILLIS / 1000.0;
+      double back = BACK[step % BACK.length];
+      tests.add(
+          DynamicTest.dynamicTest(
+              line("%.2f s apart, back after %.1f s", apart, back).trim(),
+              () -> play(text(troubles.lines(apart, back), apart))));
+    }
+    return tests;
+  }
+
+  private static String text(String troubles, double apart) {
+    StringBuilder text = new StringBuilder();
+    text.append("settings nodes=3 zones=a,b lease=10 cancel=40\n");
+    text.append("team red max=8\nteam blue max=6\nteam green gpumax=4\n");
+    text.append("type m cpus=4 mem=16 boot=6\ntype g cpus=4 gpus=2 mem=16 boot=6\n");
+    text.append("machine m a 3\nmachine m b 3\nmachine g a 2\nmachine m a 3 spot\n");
+    text.append("capacity m a 9 spot=9\ncapacity m b 9\ncapacity g a 6\n");
+    text.append("at 3 submit j-1 service tasks=4 team=red\n");
+    text.append("at 3 submit j-2 service tasks=4 team=red\n");
+    text.append("at 3 submit j-11 service tasks=3 team=blue\n");
+    text.append("at 3 submit j-12 array tasks=3 run=300 team=blue\n");
+    text.append("at 3 submit j-21 service tasks=3 gpus=1 team=green\n");
+    text.append("at 3 submit j-22 array tasks=1 run=300 gpus=1 team=green\n");
+    text.append("at 7 submit j-3 array tasks=8 run=4 team=red\n");
+    text.append("at 7 submit j-13 gang tasks=3 run=4 team=blue\n");
+    text.append("at 7 submit j-23 array tasks=6 run=2 gpus=1 team=green\n");
+    for (String stream : STREAMS) {
+      String[] words = stream.split(" ");
+      String gpus = words[1].equals("green") ? " gpus=1" : "";
+      text.append(line("every 0.5 8 28 %s array tasks=1 run=1 team=%s%s", words[0], words[1], gpus));
+    }
+    text.append(troubles);
+    text.append(line("at %.2f cancel j-1", BEGIN + apart / 2));
+    text.append(line("at %.2f cancel j-12", BEGIN + apart - 0.1));
+    text.append(line("at %.2f cancel j-21", BEGIN + apart + 0.3));
+    for (int cancelled : List.of(1, 12, 21)) {
+      text.append(line("at %.2f expect j-%d on most=0", PROVEN, cancelled));
+      text.append(line("at %.2f expect j-%d cancelled", PROVEN, cancelled));
+    }
+    double used = PROVEN + 90;
+    text.append(line("at %.2f expect j-2 on least=4", used));
+    text.append(line("at %.2f expect j-11 on least=3", used));
+    for (int waits : List.of(3, 13, 23)) {
+      text.append(line("at %.2f expect j-%d done", used, waits));
+    }
+    for (String stream : STREAMS) {
+      int first = Integer.parseInt(stream.split(" ")[0]);
+      for (int job = first; job < first + JOBS; job++) {
+        text.append(line("at %.2f expect j-%d done", used, job));
+      }
+    }
+    // What is left of each limit can be used to the last place.
+    text.append(line("at %.2f submit j-4 service tasks=4 team=red", used));
+    text.append(line("at %.2f submit j-14 service tasks=3 team=blue", used));
+    text.append(line("at %.2f submit j-24 service tasks=3 gpus=1 team=green", used));
+    text.append(line("at %.2f expect j-4 on least=4", used + 30));
+    text.append(line("at %.2f expect j-14 on least=3", used + 30));
+    text.append(line("at %.2f expect j-24 on least=3", used + 30));
+    return text.append(line("end %.2f", used + 31)).toString();
+  }
+
+  private static String line(String form, Object... values) {
+    return String.format(Locale.ROOT, form, values) + "\n";
+  }
+
+  private static void play(String text) {
+    Outcome outcome;
+    try {
+      outcome = new Scenario(text).play();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError(e.getMessage() + "\n" + text, e);
+    }
+    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
+  }
+}
