Tasks that no placement stands for count against limits until they are gone

Now such tasks count with their room, or with the whole machine if nobody knows their job, against every team; the machine takes nothing meanwhile.

LimitsTest names the registry's keys right now.

--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -115,7 +115,7 @@
   private Moment foreignRenewal;
 
   /** Asked for with every task that is placed, so it is kept until a machine's doubt changes. */
-  private Room unconfirmed;
+  private Room inDoubt;
 
   public Fleet(
       Token token,
@@ -160,17 +160,25 @@
     return stoppable;
   }
 
-  /** Room of the machines of which it is not known what runs there. */
-  public Room unconfirmedRoom() {
-    if (unconfirmed == null) {
-      unconfirmed = Room.NONE;
+  /**
+   * Room of which it is not known whose tasks take it: machines that have not told what runs there,
+   * and tasks that no placement stands for, such as those of a job whose record can't be read.
+   */
+  public Room roomInDoubt() {
+    if (inDoubt == null) {
+      inDoubt = Room.NONE;
       for (Machine machine : machines.values()) {
-        if (machine.inDoubt()) {
-          unconfirmed = unconfirmed.plus(machine.type().room());
-        }
+        inDoubt =
+            inDoubt.plus(
+                machine.inDoubt() ? machine.type().room() : machine.leftovers().strayRoom());
       }
     }
-    return unconfirmed;
+    return inDoubt;
+  }
+
+  /** A machine's doubt has changed. */
+  void doubtChanged() {
+    inDoubt = null;
   }
 
   /** Whether an attempt that an earlier leader ordered may be on a machine unseen. */
@@ -180,7 +188,7 @@
 
   void settled(Machine machine) {
     machine.settled();
-    unconfirmed = null;
+    inDoubt = null;
   }
 
   /** Adds a machine; without its type it is left out, unless older leaders may have used it. */
@@ -203,7 +211,7 @@
       machine.duty(Duty.UNFIT);
     }
     machines.put(id, machine);
-    unconfirmed = null;
+    inDoubt = null;
     return Optional.of(machine);
   }
 
@@ -333,6 +341,7 @@
       lose(placement, now);
     }
     machine.leftovers().clear();
+    inDoubt = null;
   }
 
   /**
@@ -500,7 +509,8 @@
   private static boolean mayLapse(Machine machine) {
     return switch (machine.state()) {
       case UNCONFIRMED, UP -> true;
-      case RETURNING -> machine.inDoubt() || !machine.idle();
+      case RETURNING ->
+          machine.inDoubt() || !machine.idle() || !machine.leftovers().strays().isEmpty();
       case BOOTING, ENROLLING, LAPSED, GONE -> false;
     };
   }
@@ -515,7 +525,7 @@
     machine.enter(Machine.State.GONE);
     loseAll(machine, now);
     machines.remove(machine.id());
-    unconfirmed = null;
+    inDoubt = null;
     gone.add(machine.id());
     LOG.info("machine {} returned", machine.id());
   }
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -151,6 +151,7 @@
   }
 
   private void reconcile(Machine machine, Report report, Moment now) {
+    Room strayed = machine.leftovers().strayRoom();
     machine.leftovers().clear();
     List<Placement> missing = machine.placementsCopy();
     for (Report.Piece piece : report.pieces()) {
@@ -162,6 +163,9 @@
         foreign(machine, piece, now);
       }
     }
+    if (!strayed.equals(machine.leftovers().strayRoom())) {
+      fleet.doubtChanged();
+    }
     for (Placement placement : missing) {
       boolean seen = placement.state() != Placement.State.ORDERED;
       boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
@@ -237,7 +241,8 @@
       if (piece.ended()) {
         machine.leftovers().uncleared(attempt, piece.cause() == Report.Cause.DONE);
       } else {
-        machine.leftovers().stray(attempt, Room.NONE);
+        // How much it takes, and of whose limit, nobody knows.
+        machine.leftovers().stray(attempt, machine.type().room());
       }
       return;
     }
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -29,8 +29,8 @@
   }
 
   /**
-   * Whether the team may use this much more. A machine of which it is not known what runs there
-   * counts in full, since all of it may be this team's.
+   * Whether the team may use this much more. What is in doubt counts in full, since all of it may be
+   * this team's.
    */
   public boolean allows(Job job, double count) {
     Settings.Team team = teams.get(job.spec().team());
@@ -40,7 +40,7 @@
     Room use =
         fleet
             .use(team.name())
-            .plus(fleet.unconfirmedRoom())
+            .plus(fleet.roomInDoubt())
             .plus(job.spec().room().times(count))
             .plus(keptFrom(job));
     return (team.cpusMax() <= 0 || use.cpus() <= team.cpusMax() + 1e-6)
@@ -74,7 +74,7 @@
       // The settings name it no more; what it has waits.
       return Room.NONE;
     }
-    Room use = fleet.use(name).plus(fleet.unconfirmedRoom());
+    Room use = fleet.use(name).plus(fleet.roomInDoubt());
     return new Room(
         team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax() - use.cpus(),
         team.gpusMax() <= 0 ? Double.MAX_VALUE : team.gpusMax() - use.gpus(),
--- a/src/test/java/org/oakwalk/scenario/LimitsTest.java
+++ b/src/test/java/org/oakwalk/scenario/LimitsTest.java
@@ -106,7 +106,7 @@
                 + line("at %.2f notice host-000010 in=%.2f", BEGIN - 2, 2 + 2 * apart)
                 + line("at %.2f cut of:j-1/0 nodes for=15", BEGIN)
                 + line("at %.2f hang of:j-21/0 for=14", BEGIN)
-                + line("at %.2f latewrites leading for=6 key=machines/", BEGIN - 3)
+                + line("at %.2f latewrites leading for=6 key=oak/machine/", BEGIN - 3)
                 + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
   }
 
@@ -115,7 +115,7 @@
   List<DynamicTest> damagedRecords() {
     return sweep(
         (apart, back) ->
-            line("at %.2f damage machines/", BEGIN)
+            line("at %.2f damage oak/machine/", BEGIN)
                 + line("at %.2f cut of:j-1/0 nodes for=15 hold", BEGIN)
                 + line("at %.2f cut of:j-21/0 nodes for=6", BEGIN + apart)
                 + line("at %.2f hang of:j-12/0 for=14", BEGIN)
