--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -229,7 +229,9 @@
     relay.tick(leadership.holdsToken(), now);
     catalogue.tick(leadership.holdsToken(), view.types(), now);
     desk.types(catalogue.types());
-    if (term.isPresent() && leadership.mayStepAside(now) && term.get().blind(now)) {
+    if (term.isPresent()
+        && leadership.mayStepAside(now)
+        && term.get().blind(lodging.anyHost(now), now)) {
       leadership.stepAside(now);
     }
     term.ifPresent(
--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -110,6 +110,7 @@
         new CommandDispatcher(
             outbox,
             fleet,
+            suspectAfter,
             report -> {
               if (report.token().compareTo(token) > 0) {
                 higherToken.accept(report.token());
@@ -276,8 +277,8 @@
   }
 
   /** Whether hardly any machine reaches this node, though there are some. */
-  boolean blind(Moment now) {
-    return recovery.complete() && capacity.health().blind(now);
+  boolean blind(boolean othersCarry, Moment now) {
+    return recovery.complete() && capacity.health().blind(othersCarry, now);
   }
 
   /** This process stood still until now, so that nobody's silence tells anything. */
@@ -308,6 +309,7 @@
     }
     fleet.lapse(now, recovery.lastForeignRenewal());
     dispatcher.push(now);
+    dispatcher.ask(now);
     if (active) {
       relays.tick(now);
       registry.tick(now);
--- a/src/main/java/org/oakwalk/core/capacity/Health.java
+++ b/src/main/java/org/oakwalk/core/capacity/Health.java
@@ -29,6 +29,9 @@
   /** How long a machine may take to find out that it still can't reach the leader itself. */
   private static final Span ON_ITS_WAY = Span.seconds(7);
 
+  /** Silent machines are asked by command about so often, in terms of what makes them silent. */
+  private static final double ASKED_AGAIN = 3;
+
   private static final int LEAST_TO_JUDGE = 3;
   private static final double NEARLY_ALL = 0.75;
 
@@ -38,6 +41,7 @@
   private final Span suspectAfter;
   private int known;
   private int unreached;
+  private int answering;
   private int unconfirmedBefore;
   private Moment confirmed = new Moment(Long.MIN_VALUE / 2);
   private Moment manyQuiet = new Moment(Long.MIN_VALUE / 2);
@@ -72,6 +76,7 @@
     int unconfirmed = 0;
     int quiet = 0;
     unreached = 0;
+    answering = 0;
     for (Machine machine : List.copyOf(fleet.machines())) {
       machine
           .takeBoot()
@@ -91,6 +96,7 @@
         case UP -> {
           up++;
           unreached += notReached(machine, now) ? 1 : 0;
+          answering += answersOnly(machine, now) ? 1 : 0;
           // Reports come at their own times, so of machines that a cut takes all at once some seem
           // silent well before the others; who is overdue already counts as well.
           quiet += now.past(machine.heard(), suspectAfter.times(OVERDUE)) ? 1 : 0;
@@ -112,6 +118,7 @@
         case LAPSED -> {
           lapsed++;
           unreached += notReached(machine, now) ? 1 : 0;
+          answering += answersOnly(machine, now) ? 1 : 0;
           quiet++;
           silent.add(machine);
         }
@@ -158,6 +165,13 @@
     return machine.carried() || now.past(machine.heard(), suspectAfter);
   }
 
+  /** Whether it has ceased to report, but answers commands. */
+  private boolean answersOnly(Machine machine, Moment now) {
+    return now.past(machine.heard(), suspectAfter)
+        && machine.commanded().past(machine.heard(), suspectAfter)
+        && !now.past(machine.commanded(), suspectAfter.times(ASKED_AGAIN));
+  }
+
   /** A machine that can't reach this node is off trying to now and then. */
   private Span patience(Machine machine) {
     return machine.carried() ? suspectAfter.plus(ON_ITS_WAY) : suspectAfter;
@@ -166,10 +180,14 @@
   /**
    * Whether at the last survey hardly any machine reached this node, though there are some: it is
    * cut off from them.
+   *
+   * @param wouldCarry whether others hear this node, so that they would carry the reports of workers
+   *     that reach them. A machine that answers commands, and that nobody carries for, reaches none
+   *     of them: the next leader would be as blind
    */
-  public boolean blind(Moment now) {
+  public boolean blind(boolean wouldCarry, Moment now) {
     return known >= LEAST_TO_JUDGE
-        && unreached >= known * NEARLY_ALL
+        && unreached - (wouldCarry ? answering : 0) >= known * NEARLY_ALL
         && settledSince(stoodStill, now);
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -30,6 +30,9 @@
    */
   private static final int MOST_PUSHED = 50;
 
+  /** So many machines that don't report are asked at a time: most may be out of reach for long. */
+  private static final int MOST_ASKED = 5;
+
   /** Who has just been answered has the token, and reports so within half a second. */
   private static final Span CONFIRMS_BY_ITSELF = Span.millis(1000);
 
@@ -38,8 +41,13 @@
   private final Consumer<Report> reported;
   private final Map<MachineId, Moment> pushed = new HashMap<>();
   private final Map<MachineId, Moment> answered = new HashMap<>();
+  private final Span suspectAfter;
+  private int asking;
+  private Moment clock = new Moment(Long.MIN_VALUE / 2);
 
-  public CommandDispatcher(Outbox outbox, Fleet fleet, Consumer<Report> reported) {
+  public CommandDispatcher(
+      Outbox outbox, Fleet fleet, Span suspectAfter, Consumer<Report> reported) {
+    this.suspectAfter = suspectAfter;
     this.outbox = outbox;
     this.fleet = fleet;
     this.reported = reported;
@@ -47,6 +55,7 @@
 
   /** Sends what is due. */
   public void flush(Moment now) {
+    clock = now;
     for (Machine machine : fleet.takeCommandable()) {
       // A machine whose reports another controller carries is not reached by command either: its
       // orders go out with the answer.
@@ -69,7 +78,7 @@
         }
       }
       if (!orders.isEmpty()) {
-        send(machine, machine.session().get(), orders);
+        send(machine, machine.session().get(), orders, () -> {});
       }
     }
   }
@@ -107,7 +116,30 @@
           && !within(answered, CONFIRMS_BY_ITSELF, machine, now)) {
         sent++;
         pushed.put(machine.id(), now);
-        send(machine, machine.session().orElse(SessionId.FIRST), List.of());
+        send(machine, machine.session().orElse(SessionId.FIRST), List.of(), () -> {});
+      }
+    }
+  }
+
+  /**
+   * Asks machines that have ceased to report. One that can't reach any controller, but is reached,
+   * tells what has ended there and whether its session is over.
+   */
+  public void ask(Moment now) {
+    for (Machine machine : fleet.machines()) {
+      if (asking >= MOST_ASKED) {
+        return;
+      }
+      boolean silent =
+          (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED)
+              && now.past(machine.heard(), suspectAfter);
+      if (silent
+          && !machine.commanding()
+          && !machine.address().isEmpty()
+          && now.past(machine.hearing().asked(), suspectAfter)) {
+        asking++;
+        machine.hearing().ask(now);
+        send(machine, machine.session().orElse(SessionId.FIRST), List.of(), () -> asking--);
       }
     }
   }
@@ -118,7 +150,7 @@
     return last != null && !now.past(last, span);
   }
 
-  private void send(Machine machine, SessionId session, List<Order> orders) {
+  private void send(Machine machine, SessionId session, List<Order> orders, Runnable settled) {
     List<Machine.Try> runs = new ArrayList<>();
     for (Order order : orders) {
       if (order instanceof Order.Run) {
@@ -131,11 +163,12 @@
         new Request.Command(machine.address(), fleet.token(), session, orders),
         answer -> {
           machine.commanding(false);
+          settled.run();
           if (!(answer instanceof Answer.Nothing)) {
             runs.forEach(machine.openRuns()::commandSettled);
           }
           if (answer instanceof Answer.Commanded commanded) {
-            machine.hearing().answered();
+            machine.hearing().answered(clock);
             reported.accept(commanded.report());
             if (!commanded.executed() && machine.state() == Machine.State.UNCONFIRMED) {
               // The session was a guess; the report told the right one.
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -511,7 +511,8 @@
       case UNCONFIRMED, UP -> true;
       case RETURNING ->
           machine.inDoubt() || !machine.idle() || !machine.leftovers().strays().isEmpty();
-      case BOOTING, ENROLLING, LAPSED, GONE -> false;
+      case LAPSED -> !machine.idle();
+      case BOOTING, ENROLLING, GONE -> false;
     };
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/Hearing.java
+++ b/src/main/java/org/oakwalk/core/fleet/Hearing.java
@@ -20,6 +20,8 @@
 
   private State state = State.HEARS;
   private Moment since;
+  private Moment asked = new Moment(Long.MIN_VALUE / 2);
+  private Moment commanded = new Moment(Long.MIN_VALUE / 2);
 
   boolean hears() {
     return state == State.HEARS;
@@ -31,8 +33,23 @@
   }
 
   /** It has answered a command. */
-  void answered() {
+  void answered(Moment now) {
     state = State.HEARS;
+    commanded = now;
+  }
+
+  /** When it was last asked as it had ceased to report. */
+  Moment asked() {
+    return asked;
+  }
+
+  void ask(Moment now) {
+    asked = now;
+  }
+
+  /** When it last answered a command. */
+  Moment commanded() {
+    return commanded;
   }
 
   /** It reports the leader's token. */
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -171,10 +171,16 @@
     return sessions.present();
   }
 
+  /** When it last reported by itself, directly or by way of another controller. */
   public Moment heard() {
     return heard;
   }
 
+  /** When it last answered a command. */
+  public Moment commanded() {
+    return hearing.commanded();
+  }
+
   public Moment renewed() {
     return renewed;
   }
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -75,7 +75,9 @@
     }
     boolean otherSession = machine.session().filter(report.session()::equals).isEmpty();
     boolean freshSession = machine.advance(report.session(), report.sequence(), own);
-    listens(machine, report, freshSession, now);
+    if (own || !freshSession) {
+      listens(machine, report, freshSession, now);
+    }
     if (otherSession) {
       // A session begins with a lease of its own, whoever told of it. Counted from the last answer
       // in the session before, it would seem to be over while tasks that came by command run.
@@ -86,8 +88,10 @@
       // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
       machine.placements().forEach(Placement::unwatched);
     }
-    machine.heard(now);
     if (own) {
+      // Only these are answered, and so renew a lease: a machine that merely does what it is told
+      // loses all its tasks when its lease is over.
+      machine.heard(now);
       machine.openRuns().responseSettled();
     }
     if (freshSession) {
@@ -115,9 +119,16 @@
         }
         machine.enter(Machine.State.ENROLLING);
       }
-      case LAPSED -> fleet.up(machine);
+      case LAPSED -> {
+        if (own) {
+          // One that only answers commands is of no use: no session of it outlives its lease.
+          fleet.up(machine);
+        }
+      }
       case UNCONFIRMED -> {
         if (!machine.inDoubt()) {
+          // By command, most often: its first own report is on its way, unless it can't send any.
+          machine.heard(now);
           fleet.up(machine);
         }
       }
--- a/src/main/java/org/oakwalk/core/leadership/Lodging.java
+++ b/src/main/java/org/oakwalk/core/leadership/Lodging.java
@@ -30,6 +30,11 @@
     sent.values().removeIf(at -> now.past(at, LODGES_FOR));
   }
 
+  /** Whether any follower hears this node. */
+  public boolean anyHost(Moment now) {
+    return hosts.values().stream().anyMatch(heard -> !now.past(heard, HEARD_WITHIN));
+  }
+
   /** The node to which this worker is to be sent, if there is one. */
   public Optional<NodeId> host(MachineId machine, Moment now) {
     List<NodeId> near =
