--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -80,17 +80,19 @@
   }
 
   private void send(Report report, NodeId to, Consumer<Response> then) {
-    world.network.send(
-        worker.address(),
-        to.value(),
-        () ->
-            world
-                .node(to)
-                .report(
-                    report,
-                    response ->
-                        world.network.send(
-                            to.value(), worker.address(), () -> then.accept(response))));
+    if (!world.keptReports.sent(report)) {
+      world.network.send(
+          worker.address(),
+          to.value(),
+          () ->
+              world
+                  .node(to)
+                  .report(
+                      report,
+                      response ->
+                          world.network.send(
+                              to.value(), worker.address(), () -> then.accept(response))));
+    }
     if (!world.network.parted(worker.address(), to.value())) {
       world
           .lateness
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -227,7 +227,7 @@
   private void act(Words line) {
     switch (line.word(2)) {
       case "submit" -> submit(line, new JobId(line.word(3)), line.word(4));
-      case "cancel" -> world.users.get(new JobId(line.word(3))).cancel();
+      case "cancel" -> cancel(line);
       case "crash" -> hosts.nodes(line.word(3)).forEach(SimNode::crash);
       case "restart" -> restart(line);
       case "refuse" ->
@@ -283,6 +283,16 @@
     }
   }
 
+  private void cancel(Words line) {
+    SimUser user = world.users.get(new JobId(line.word(3)));
+    String first = line.text("on", "");
+    if (first.isEmpty()) {
+      user.cancel();
+    } else {
+      hosts.nodes(first).forEach(user::cancelAt);
+    }
+  }
+
   /** They end and are back some time later, perhaps again and again; the same each time. */
   private void restart(Words line) {
     List<SimNode> who = List.copyOf(hosts.nodes(line.word(3)));
@@ -368,6 +378,10 @@
   private void rogue(Words line) {
     TaskId task = TaskId.parse(line.word(3)).orElseThrow();
     SimWorker worker = hosts.worker(line.word(4));
+    if (!line.text("by", "").isEmpty()) {
+      hosts.nodes(line.text("by", "")).forEach(node -> node.orderStart(task, worker));
+      return;
+    }
     Token token = new Token(Long.MAX_VALUE >> 30);
     worker.command(
         new Request.Command(
@@ -418,6 +432,6 @@
                 Response.JobState.valueOf(line.word(4).toUpperCase(java.util.Locale.ROOT)),
                 0,
                 0);
-    world.rules.told(job, false, world.time.seconds(), answer);
+    world.rules.told(job, false, world.rules.moment(), answer, Optional.empty());
   }
 }
