A job holds no more takes than it has replicas, also when taken room is out of reach

Cause: a replica was lost as its machine lapsed; the take stayed TAKEN, as its room was not gone, and the job took again for the same replica. Three takes were open for a service of two (taken_twice), and the dearer giver stayed owed.

--- a/src/main/java/org/oakwalk/core/exchange/Exchange.java
+++ b/src/main/java/org/oakwalk/core/exchange/Exchange.java
@@ -129,12 +129,46 @@
       if (plan.isEmpty() || !gate.allows(plan.get().victims())) {
         break;
       }
-      intend(each, job, plan.get(), now, wall);
+      Optional<Take> instead = makeWay(job, now, wall);
+      intend(each, job, plan.get(), instead.map(Take::level).orElse(level(each)), now, wall);
       underWay++;
     }
     return underWay > 0;
   }
 
+  /**
+   * Before a job takes once more: it never holds more takes than it has replicas. One that it holds
+   * and makes no use of, since the replica there was lost with its machine's lease, say, goes back
+   * in the same revision of the record. There is one: of its replicas some wait for which nothing
+   * is under way, so fewer are placed than it holds takes.
+   *
+   * @return what goes back; the other stands for the same replica, so need is at the same level
+   */
+  private Optional<Take> makeWay(Job job, Moment now, WallTime wall) {
+    List<Live> held =
+        open.values().stream()
+            .filter(l -> l.take.taker().equals(job.id()))
+            .filter(l -> l.take.underWay() || l.take.state() == Take.State.TAKEN)
+            .toList();
+    if (held.size() < job.spec().tasks()) {
+      return Optional.empty();
+    }
+    Optional<Live> given =
+        held.stream()
+            .filter(live -> live.take.state() == Take.State.TAKEN && unused(live))
+            .min(Comparator.comparing(live -> mayServe(live, now)));
+    given.ifPresent(live -> end(live, job.id() + " has room elsewhere instead", now, wall));
+    return given.map(live -> live.take);
+  }
+
+  /** Whether room that was taken may have a replica at once, rather than be out of reach. */
+  private boolean mayServe(Live live, Moment now) {
+    return fleet
+        .find(live.take.machine())
+        .filter(machine -> machine.takesTasks(now, suspectAfter))
+        .isPresent();
+  }
+
   private int underWayFor(Job job) {
     int count = 0;
     for (Live live : open.values()) {
@@ -147,7 +181,8 @@
     return open.values().stream().filter(l -> l.take.exchange().equals(each.name())).count();
   }
 
-  private void intend(ExchangeTerms each, Job job, Toll.Plan plan, Moment now, WallTime wall) {
+  /** How many replicas of the takers there are, with one more. */
+  private int level(ExchangeTerms each) {
     int level = 1;
     for (Job other : jobs.all()) {
       level += other.open() && each.takes(other.spec()) ? other.activeCount() : 0;
@@ -155,6 +190,11 @@
     for (Live live : open.values()) {
       level += live.take.underWay() && live.take.exchange().equals(each.name()) ? 1 : 0;
     }
+    return level;
+  }
+
+  private void intend(
+      ExchangeTerms each, Job job, Toll.Plan plan, int level, Moment now, WallTime wall) {
     Take take =
         new Take(
             new TakeId(token, ++names),
@@ -269,7 +309,7 @@
     } else if (!patient(live, now)) {
       end(live, "it took too long", now, wall);
     } else if (live.roomIsFree()) {
-      start(live, taker.get(), now);
+      start(live, taker.get(), now, wall);
     } else if (live.take.state() == Take.State.INTENDED && isStored(live)) {
       order(live, taker.get(), now);
     }
@@ -334,14 +374,16 @@
     change(live, live.take.stopping(), now);
   }
 
-  private void start(Live live, Job taker, Moment now) {
+  private void start(Live live, Job taker, Moment now, WallTime wall) {
     Machine machine = live.keeps;
     int index = taker.nextPending(0, now);
     if (taker.spec().allows(machine.type().name(), machine.zone(), machine.spot())
         && mayStart(taker, index, machine, now)) {
+      Optional<Take> instead =
+          taker.id().equals(live.take.taker()) ? Optional.empty() : makeWay(taker, now, wall);
       live.letGo();
       place(taker, index, machine, now);
-      change(live, live.take.taken(taker.id()), now);
+      change(live, live.take.taken(taker.id()).standingFor(instead), now);
     }
   }
 
@@ -370,21 +412,33 @@
       return;
     }
     if (live.keeps == null) {
-      long here = machine.get().countOf(live.take.taker());
-      long takes =
-          open.values().stream()
-              .filter(other -> other.take.state() == Take.State.TAKEN && other.keeps == null)
-              .filter(other -> other.take.taker().equals(live.take.taker()))
-              .filter(other -> other.take.machine().equals(live.take.machine()))
-              .count();
-      if (here >= takes) {
+      if (!unused(live)) {
         return;
       }
       live.keep(machine.get());
     }
     if (live.roomIsFree()) {
-      taker(live).ifPresent(taker -> start(live, taker, now));
+      taker(live).ifPresent(taker -> start(live, taker, now, wall));
+    }
+  }
+
+  /** Whether no replica of the taker stands for this take: fewer are there than took room there. */
+  private boolean unused(Live live) {
+    if (live.keeps != null) {
+      return true;
     }
+    long here =
+        fleet
+            .find(live.take.machine())
+            .map(machine -> machine.countOf(live.take.taker()))
+            .orElse(0L);
+    long takes =
+        open.values().stream()
+            .filter(other -> other.take.state() == Take.State.TAKEN && other.keeps == null)
+            .filter(other -> other.take.taker().equals(live.take.taker()))
+            .filter(other -> other.take.machine().equals(live.take.machine()))
+            .count();
+    return here < takes;
   }
 
   /** Gives back what need has fallen below for long enough, the oldest debts first. */
--- a/src/main/java/org/oakwalk/core/exchange/Take.java
+++ b/src/main/java/org/oakwalk/core/exchange/Take.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
@@ -107,6 +108,13 @@
         since);
   }
 
+  /** Need is at the level of the lower one, if the room is used in place of another that was taken. */
+  public Take standingFor(Optional<Take> other) {
+    int least = other.map(Take::level).filter(each -> each < level).orElse(level);
+    return new Take(
+        id, state, exchange, giver, giverTeam, tasks, taker, room, machine, least, since);
+  }
+
   /** The room goes back to the giver from now on. */
   public Take returning(WallTime now) {
     return enter(State.RETURNING, now);
--- a/src/test/java/org/oakwalk/core/exchange/TakeTest.java
+++ b/src/test/java/org/oakwalk/core/exchange/TakeTest.java
@@ -5,6 +5,7 @@
 
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
@@ -81,6 +82,28 @@
     assertThat(taken.returning(LATER).since()).isEqualTo(LATER);
   }
 
+  @Test
+  void standsForAnotherAtTheLowerLevel() {
+    Take take = in(Take.State.TAKEN);
+    assertThat(take.standingFor(Optional.empty())).isEqualTo(take);
+    Take first =
+        new Take(
+            new TakeId(new Token(7), 1),
+            Take.State.RETURNING,
+            take.exchange(),
+            take.giver(),
+            take.giverTeam(),
+            take.tasks(),
+            take.taker(),
+            take.room(),
+            take.machine(),
+            2,
+            THEN);
+    assertThat(take.standingFor(Optional.of(first)).level()).isEqualTo(2);
+    assertThat(take.standingFor(Optional.of(first)).id()).isEqualTo(take.id());
+    assertThat(first.standingFor(Optional.of(take)).level()).isEqualTo(2);
+  }
+
   @Test
   void laterTakesComeLater() {
     TakeId first = new TakeId(new Token(7), 3);
