A later attempt shows that the earlier one is over, whatever a held-up report lists

Cause: the first report that a new leader heard of a machine had been held up for long; the task that it listed had gone on elsewhere since. The later attempt was then taken for one too many and stopped, its work lost, until the old machine's own next report told better. Attempts of a task only grow, and the later one was ordered when the earlier was surely over, so while its machine is in doubt the earlier one gives way.

--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -162,6 +162,7 @@
         foreign(machine, piece, now);
       }
     }
+    missing.removeIf(placement -> placement.state() == Placement.State.OVER);
     for (Placement placement : missing) {
       boolean seen = placement.state() != Placement.State.ORDERED;
       boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
@@ -250,6 +251,7 @@
       }
       return;
     }
+    supersede(job, piece, now);
     if (!job.isFree(index)) {
       LOG.info("task {} try {} is on {} astray", piece.task(), piece.attempt(), machine.id());
       machine.leftovers().stray(attempt, job.spec().room());
@@ -263,6 +265,28 @@
     }
   }
 
+  /**
+   * Lets go of an earlier attempt that only a report from before this term shows. An older leader
+   * ordered the later one after it was certain that the earlier one was over; the report was held
+   * up, and taken at its word it would have the later attempt stopped as one too many.
+   */
+  private void supersede(Job job, Report.Piece piece, Moment now) {
+    if (job.isDone(piece.task().index())
+        || piece.attempt().token().compareTo(fleet.token()) >= 0) {
+      return;
+    }
+    fleet
+        .placementOf(piece.task())
+        .filter(earlier -> earlier.machine().inDoubt())
+        .filter(earlier -> earlier.attempt().value() < piece.attempt().value())
+        .ifPresent(
+            earlier -> {
+              LOG.info(
+                  "task {} try {} is over, a later one is seen", earlier.task(), earlier.attempt());
+              fleet.lose(earlier, now);
+            });
+  }
+
   private void completeElsewhere(Job job, TaskId task, Moment now) {
     job.complete(task.index(), now);
     fleet
