--- a/src/main/java/org/oakwalk/core/exchange/Exchange.java
+++ b/src/main/java/org/oakwalk/core/exchange/Exchange.java
@@ -3,13 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Span;
-import org.oakwalk.core.TaskId;
 import org.oakwalk.core.Token;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.drain.Gate;
@@ -41,21 +38,17 @@
   private static final int MOST_A_CALL = 16;
 
   private final List<ExchangeTerms> terms;
-  private final SharedRecord<Take> record;
   private final Fleet fleet;
   private final JobBook jobs;
   private final Quota quota;
   private final Gate gate;
-  private final RunTimes runTimes;
   private final Token token;
   private final Span suspectAfter;
-  private final Reserve reserve;
+  private final Starts starts;
   private final Toll toll;
   private final BiConsumer<Machine, Job> keepForGang;
-  private final Map<TakeId, Live> open = new TreeMap<>();
+  private final OpenTakes open;
   private final Needs needs;
-  private boolean restored;
-  private boolean changed;
   private long names;
 
   /**
@@ -75,16 +68,15 @@
       Reserve reserve,
       BiConsumer<Machine, Job> keepForGang) {
     this.terms = terms;
-    this.record = record;
+    this.open = new OpenTakes(record, fleet);
     this.fleet = fleet;
     this.jobs = jobs;
     this.quota = quota;
     this.gate = gate;
-    this.runTimes = runTimes;
     this.token = fleet.token();
     this.suspectAfter = suspectAfter;
-    this.reserve = reserve;
-    this.toll = new Toll(fleet, quota, reserve, this::owed);
+    this.starts = new Starts(fleet, quota, reserve, runTimes, suspectAfter);
+    this.toll = new Toll(fleet, quota, reserve, open::owed);
     this.keepForGang = keepForGang;
     this.needs = new Needs(terms, jobs);
   }
@@ -97,31 +89,22 @@
     return terms.stream().filter(each -> each.name().equals(take.exchange())).findFirst();
   }
 
-  /** How many takes of a job are not given back. */
-  private int owed(Job giver) {
-    return (int) open.values().stream().filter(l -> l.take.giver().equals(giver.id())).count();
-  }
-
   @Override
   public boolean spares(Job asking, Placement placement) {
-    return usable()
+    return open.usable()
         && termsFor(asking).filter(each -> each.gives(placement.job().spec())).isPresent();
   }
 
-  private boolean usable() {
-    return restored && !record.broken();
-  }
-
   @Override
   public boolean ask(Job job, List<Machine> machines, Moment now, WallTime wall) {
-    Optional<ExchangeTerms> found = usable() ? termsFor(job) : Optional.empty();
+    Optional<ExchangeTerms> found = open.usable() ? termsFor(job) : Optional.empty();
     if (found.isEmpty()) {
       return false;
     }
     ExchangeTerms each = found.get();
-    int underWay = underWayFor(job);
+    int underWay = open.underWayFor(job);
     for (int i = 0; i < MOST_A_CALL && underWay < job.pendingCount(); i++) {
-      long held = held(each);
+      long held = open.held(each);
       Optional<Toll.Plan> plan =
           held < each.most() && quota.allows(job, underWay + 1)
               ? toll.best(job, each, machines, now)
@@ -145,17 +128,13 @@
    * @return what goes back; the other stands for the same replica, so need is at the same level
    */
   private Optional<Take> makeWay(Job job, Moment now, WallTime wall) {
-    List<Live> held =
-        open.values().stream()
-            .filter(l -> l.take.taker().equals(job.id()))
-            .filter(l -> l.take.underWay() || l.take.state() == Take.State.TAKEN)
-            .toList();
+    List<Live> held = open.heldBy(job);
     if (held.size() < job.spec().tasks()) {
       return Optional.empty();
     }
     Optional<Live> given =
         held.stream()
-            .filter(live -> live.take.state() == Take.State.TAKEN && unused(live))
+            .filter(live -> live.take.state() == Take.State.TAKEN && open.unused(live))
             .min(Comparator.comparing(live -> mayServe(live, now)));
     given.ifPresent(live -> end(live, job.id() + " has room elsewhere instead", now, wall));
     return given.map(live -> live.take);
@@ -169,25 +148,13 @@
         .isPresent();
   }
 
-  private int underWayFor(Job job) {
-    int count = 0;
-    for (Live live : open.values()) {
-      count += live.take.underWay() && live.take.taker().equals(job.id()) ? 1 : 0;
-    }
-    return count;
-  }
-
-  private long held(ExchangeTerms each) {
-    return open.values().stream().filter(l -> l.take.exchange().equals(each.name())).count();
-  }
-
   /** How many replicas of the takers there are, with one more. */
   private int level(ExchangeTerms each) {
     int level = 1;
     for (Job other : jobs.all()) {
       level += other.open() && each.takes(other.spec()) ? other.activeCount() : 0;
     }
-    for (Live live : open.values()) {
+    for (Live live : open.all()) {
       level += live.take.underWay() && live.take.exchange().equals(each.name()) ? 1 : 0;
     }
     return level;
@@ -211,8 +178,7 @@
     Live live = new Live(take, now);
     live.victims = plan.victims();
     live.keep(plan.machine());
-    open.put(take.id(), live);
-    changed = true;
+    open.add(live);
     LOG.info(
         "take {}: {} takes {} tasks of {} on {}, at a cost of {} s",
         take.id(),
@@ -225,63 +191,17 @@
 
   /** Goes on with what is open; orders nothing before it is known what runs. */
   public void tick(boolean recovered, Moment now, WallTime wall) {
-    if (!record.known() || record.broken()) {
+    if (!open.restored(now)) {
       return;
     }
-    if (!restored) {
-      restore(now);
-    }
     if (recovered) {
       needs.count(now);
-      for (Live live : List.copyOf(open.values())) {
+      for (Live live : open.all()) {
         step(live, now, wall);
       }
       giveBack(now, wall);
     }
-    store();
-  }
-
-  private void restore(Moment now) {
-    restored = true;
-    for (Take take : record.stored()) {
-      Live live = new Live(take, now);
-      open.put(take.id(), live);
-      Optional<Machine> machine = fleet.find(take.machine());
-      if (machine.isPresent() && take.state() != Take.State.TAKEN) {
-        live.keep(machine.get());
-      }
-    }
-    if (!open.isEmpty()) {
-      LOG.info("{} takes are open, token {}", open.size(), token);
-    }
-  }
-
-  private void store() {
-    if (!changed) {
-      return;
-    }
-    changed = false;
-    List<Take> rows = open.values().stream().map(live -> live.take).toList();
-    long ticket = record.want(rows);
-    open.values().forEach(live -> live.ticket = live.ticket == 0 ? ticket : live.ticket);
-  }
-
-  /** The one place where a take changes. */
-  private void change(Live live, Take next, Moment now) {
-    LOG.info("take {}: {} to {}", next.id(), live.take.state(), next.state());
-    live.take = next;
-    live.ticket = 0;
-    live.since = now;
-    changed = true;
-    if (next.state() == Take.State.SETTLED) {
-      live.letGo();
-      open.remove(next.id());
-    }
-  }
-
-  private boolean isStored(Live live) {
-    boolean inherited = live.ticket == 0 && !changed && record.settled();
-    return inherited || live.ticket > 0 && record.revision() >= live.ticket;
+    open.store();
   }
 
   private void step(Live live, Moment now, WallTime wall) {
@@ -310,7 +230,7 @@
       end(live, "it took too long", now, wall);
     } else if (live.roomIsFree()) {
       start(live, taker.get(), now, wall);
-    } else if (live.take.state() == Take.State.INTENDED && isStored(live)) {
+    } else if (live.take.state() == Take.State.INTENDED && open.isStored(live)) {
       order(live, taker.get(), now);
     }
   }
@@ -323,7 +243,7 @@
     if (live.take.state() == Take.State.INTENDED) {
       end(live, "nobody needs it any more", now, wall);
     } else if (live.roomIsFree()) {
-      change(live, live.take.taken(live.take.taker()), now);
+      open.change(live, live.take.taken(live.take.taker()), now);
     } else if (!patient(live, now)) {
       end(live, "it took too long", now, wall);
     }
@@ -338,7 +258,7 @@
     ExchangeTerms each = termsOf(live.take).get();
     return jobs.all().stream()
         .filter(job -> each.takes(job.spec()) && waits(job, live))
-        .filter(job -> underWayFor(job) < job.pendingCount())
+        .filter(job -> open.underWayFor(job) < job.pendingCount())
         .min(Comparator.comparing(Job::waitingSince));
   }
 
@@ -371,36 +291,25 @@
       return;
     }
     victims.forEach(victim -> fleet.halt(victim, victim.job().spec().saveTime(), Fleet.Why.TAKEN));
-    change(live, live.take.stopping(), now);
+    open.change(live, live.take.stopping(), now);
   }
 
   private void start(Live live, Job taker, Moment now, WallTime wall) {
     Machine machine = live.keeps;
     int index = taker.nextPending(0, now);
     if (taker.spec().allows(machine.type().name(), machine.zone(), machine.spot())
-        && mayStart(taker, index, machine, now)) {
+        && starts.may(taker, index, machine, now)) {
       Optional<Take> instead =
           taker.id().equals(live.take.taker()) ? Optional.empty() : makeWay(taker, now, wall);
       live.letGo();
-      place(taker, index, machine, now);
-      change(live, live.take.taken(taker.id()).standingFor(instead), now);
+      starts.place(taker, index, machine, now);
+      open.change(live, live.take.taken(taker.id()).standingFor(instead), now);
     }
   }
 
-  private boolean mayStart(Job job, int index, Machine machine, Moment now) {
-    return index >= 0
-        && machine.takesTasks(now, suspectAfter)
-        && !machine.remembers(new TaskId(job.id(), index))
-        && quota.allows(job, 1);
-  }
-
-  private void place(Job job, int index, Machine machine, Moment now) {
-    fleet.place(job, index, fleet.nextAttempt(), machine, runTimes.expected(job.spec()), now);
-  }
-
   private void end(Live live, String why, Moment now, WallTime wall) {
     LOG.info("take {} ends: {}", live.take.id(), why);
-    change(live, live.take.returning(wall), now);
+    open.change(live, live.take.returning(wall), now);
   }
 
   /** The taker's replica may have ended: others that wait get its room, or it is kept a while. */
@@ -408,11 +317,11 @@
     Optional<Machine> machine = fleet.find(live.take.machine());
     if (machine.isEmpty()) {
       LOG.info("take {}: its room is gone with {}", live.take.id(), live.take.machine());
-      change(live, live.take.settled(), now);
+      open.change(live, live.take.settled(), now);
       return;
     }
     if (live.keeps == null) {
-      if (!unused(live)) {
+      if (!open.unused(live)) {
         return;
       }
       live.keep(machine.get());
@@ -422,30 +331,11 @@
     }
   }
 
-  /** Whether no replica of the taker stands for this take: fewer are there than took room there. */
-  private boolean unused(Live live) {
-    if (live.keeps != null) {
-      return true;
-    }
-    long here =
-        fleet
-            .find(live.take.machine())
-            .map(machine -> machine.countOf(live.take.taker()))
-            .orElse(0L);
-    long takes =
-        open.values().stream()
-            .filter(other -> other.take.state() == Take.State.TAKEN && other.keeps == null)
-            .filter(other -> other.take.taker().equals(live.take.taker()))
-            .filter(other -> other.take.machine().equals(live.take.machine()))
-            .count();
-    return here < takes;
-  }
-
   /** Gives back what need has fallen below for long enough, the oldest debts first. */
   private void giveBack(Moment now, WallTime wall) {
     for (ExchangeTerms each : terms) {
       List<Live> held =
-          open.values().stream()
+          open.all().stream()
               .filter(l -> l.take.exchange().equals(each.name()))
               .filter(l -> l.take.state() == Take.State.TAKEN)
               .toList();
@@ -454,7 +344,7 @@
           .limit(due)
           .forEach(live -> end(live, "need has fallen to " + needs.replicas(each), now, wall));
     }
-    for (Live live : List.copyOf(open.values())) {
+    for (Live live : open.all()) {
       if (live.take.state() == Take.State.TAKEN && termsOf(live.take).isEmpty()) {
         end(live, "its exchange is declared no more", now, wall);
       }
@@ -470,10 +360,10 @@
           live.take.id(),
           live.take.giver(),
           giver.isEmpty() ? "is over" : giver.get().pendingCount() <= 0 ? "runs" : "can't go on");
-      change(live, live.take.settled(), now);
+      open.change(live, live.take.settled(), now);
       return;
     }
-    if (!isStored(live)) {
+    if (!open.isStored(live)) {
       return;
     }
     Job job = giver.get();
@@ -485,35 +375,15 @@
       }
       return;
     }
-    Machine machine = live.keeps != null ? live.keeps : roomFor(job, now);
+    Machine machine = live.keeps != null ? live.keeps : starts.roomFor(job, now);
     if (machine == null) {
       return;
     }
     live.letGo();
-    int placed = 0;
-    int index = job.nextPending(0, now);
-    while (placed < live.take.tasks()
-        && job.spec().room().fits(reserve.free(job.spec(), machine))
-        && mayStart(job, index, machine, now)) {
-      place(job, index, machine, now);
-      placed++;
-      index = job.nextPending(index + 1, now);
-    }
+    int placed = starts.fill(job, live.take.tasks(), machine, now);
     if (placed > 0) {
       LOG.info("take {}: {} tasks of {} go on", live.take.id(), placed, job.id());
-      change(live, live.take.settled(), now);
+      open.change(live, live.take.settled(), now);
     }
   }
-
-  private Machine roomFor(Job job, Moment now) {
-    return fleet.machines().stream()
-        .filter(machine -> machine.takesTasks(now, suspectAfter))
-        .filter(machine -> !machine.duty().fillsUp())
-        .filter(
-            machine ->
-                job.spec().allows(machine.type().name(), machine.zone(), machine.spot())
-                    && job.spec().room().fits(reserve.free(job.spec(), machine)))
-        .max(Comparator.comparing((Machine m) -> m.hasImage(job.spec().image())))
-        .orElse(null);
-  }
 }
