Starts by command are void for good once a machine shows a raised token

Cause: a start by command that comes once more starts a task that the worker was told to forget. Change: a leader raises the token under which it speaks to a machine, up to the highest revision at which its copy of the store still showed its key; each later claim has a higher one, so nothing is written for it. A worker that shows the raised token refuses whatever was sent by command before, and its ended attempts may be cleared, whatever their jobs do.

--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -186,7 +186,7 @@
       Optional<NodeId> host =
           reports.crowded()
                   && leadership.mayAnswer(now)
-                  && report.token().compareTo(term.get().token()) <= 0
+                  && !term.get().above(report)
               ? lodging.host(report.machine(), now)
               : Optional.empty();
       outbox.respond(
@@ -274,7 +274,7 @@
   }
 
   private Response report(Report report, boolean cutOff) {
-    if (term.isPresent() && report.token().compareTo(term.get().token()) > 0) {
+    if (term.isPresent() && term.get().above(report)) {
       // Whoever was granted it, this worker drops what is said under this node's token. If nobody
       // was, it stays silent for this leader, and its machine is lost like others that are.
       leadership.shownByWorker(report.token(), now);
@@ -286,9 +286,9 @@
         term.get().answered(report.machine(), now);
         return new Response.Orders(term.get().token(), haltsOf(report));
       }
-      Optional<List<Order>> orders = term.get().report(report, cutOff, now);
+      Optional<Response.Orders> orders = term.get().report(report, cutOff, now);
       return orders.isPresent()
-          ? new Response.Orders(term.get().token(), orders.get())
+          ? orders.get()
           : Response.unavailable("no use can be made of the report", SOON);
     }
     return elsewhere();
--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -37,6 +37,7 @@
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.core.port.Response;
 import org.oakwalk.core.recovery.Recovery;
 import org.oakwalk.core.store.Guard;
 import org.oakwalk.core.store.Keys;
@@ -103,15 +104,12 @@
     this.jobs = new JobBook(view, token, now);
     this.relays = new RelayEnds(outbox, view, guard, token, settings.workers());
     this.fleet = new Fleet(token, jobs, view, relays, settings.workers(), this);
-    if (settings.teams().values().stream().noneMatch(Settings.Team::limited)) {
-      fleet.withoutLimits();
-    }
     this.dispatcher =
         new CommandDispatcher(
             outbox,
             fleet,
             report -> {
-              if (report.token().compareTo(token) > 0) {
+              if (above(report)) {
                 higherToken.accept(report.token());
               } else {
                 fleet.report(report, false, clock);
@@ -213,6 +211,11 @@
     return token;
   }
 
+  /** Whether a worker shows a higher token than this leader has told it. */
+  boolean above(Report report) {
+    return report.token().compareTo(fleet.tokenOf(report.machine())) > 0;
+  }
+
   /** A job was stored, finished or withdrawn. */
   void jobChanged(KnownJob known, Moment now) {
     Optional<Job> withdrawn = jobs.changed(known, now);
@@ -242,7 +245,7 @@
   }
 
   /** Orders for a worker that reports, or nothing if the report can't be used yet. */
-  Optional<List<Order>> report(Report report, boolean carried, Moment now) {
+  Optional<Response.Orders> report(Report report, boolean carried, Moment now) {
     clock = now;
     Optional<Machine> machine = fleet.report(report, true, now);
     if (machine.isEmpty() || fleet.mustLapse(machine.get(), now)) {
@@ -255,7 +258,8 @@
       // What is placed after this answer would wait for the next one.
       placing.ifPresent(wall -> round(now, wall));
     }
-    return Optional.of(fleet.respond(machine.get(), now));
+    List<Order> orders = fleet.respond(machine.get(), now);
+    return Optional.of(new Response.Orders(fleet.tokenOf(report.machine()), orders));
   }
 
   /** Stops what will not end before the cloud takes the machine, so that it can go elsewhere. */
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -12,6 +12,7 @@
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.Request;
@@ -125,10 +126,11 @@
         runs.add(new Machine.Try(order.task(), order.attempt()));
       }
     }
-    runs.forEach(machine.openRuns()::sentByCommand);
+    Token token = machine.fence().current();
+    runs.forEach(run -> machine.openRuns().sentByCommand(run, token));
     machine.commanding(true);
     outbox.call(
-        new Request.Command(machine.address(), fleet.token(), session, orders),
+        new Request.Command(machine.address(), token, session, orders),
         answer -> {
           machine.commanding(false);
           if (!(answer instanceof Answer.Nothing)) {
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -42,8 +42,11 @@
    */
   private static final Span START_MARGIN = Span.seconds(10);
 
-  /** Copies of messages come up to well over a lease late. */
-  private static final double KEPT_LEASES = 3;
+  /**
+   * How many ended attempts a machine lists, only since their starts may come once more, before its
+   * token is raised. Each raise costs one more report.
+   */
+  private static final int MOST_KEPT = 16;
 
   /** Why a task is stopped. */
   public enum Why {
@@ -108,7 +111,6 @@
   private final Set<Machine> toCommand = new LinkedHashSet<>();
   private final Stoppable stoppable = new Stoppable();
   private final Reconciler reconciler;
-  private boolean withoutLimits;
   private long attempts;
 
   /** The last moment at which an older leader may have renewed a lease; null if not known yet. */
@@ -137,11 +139,6 @@
     types = current;
   }
 
-  /** No team has a limit. */
-  public void withoutLimits() {
-    withoutLimits = true;
-  }
-
   public Collection<Machine> machines() {
     return machines.values();
   }
@@ -198,7 +195,7 @@
     }
     boolean typeKnown = kind != null;
     Machine machine =
-        new Machine(id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, known);
+        new Machine(id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, token, known);
     if (!typeKnown) {
       machine.duty(Duty.UNFIT);
     }
@@ -268,6 +265,12 @@
     return token;
   }
 
+  /** The token under which a machine is spoken to; one that is not known yet by the leader's own. */
+  public Token tokenOf(MachineId id) {
+    Machine machine = machines.get(id);
+    return machine == null ? token : machine.fence().current();
+  }
+
   /**
    * Takes over a report.
    *
@@ -345,7 +348,8 @@
   /** Orders for a machine that has just reported by itself. */
   public List<Order> respond(Machine machine, Moment now) {
     machine.renewed(now);
-    List<Order> orders = new ArrayList<>(clears(machine, now));
+    List<Order> orders = new ArrayList<>(clears(machine));
+    raise(machine);
     for (Placement placement : machine.placements()) {
       if (placement.halting()) {
         if (runLost(placement, now)) {
@@ -396,7 +400,7 @@
    * the worker forgets the attempt only as it gets the task's next one, on account of which it
    * refuses older ones.
    */
-  private List<Order> clears(Machine machine, Moment now) {
+  private List<Order> clears(Machine machine) {
     List<Order> orders = new ArrayList<>();
     machine
         .leftovers()
@@ -404,13 +408,9 @@
         .forEach(
             (attempt, done) -> {
               boolean repeats = machine.openRuns().mayRepeat(attempt.task());
-              boolean harmless = repeats && mayComeAgain(machine, attempt.task(), now);
-              if ((!repeats || harmless || startsAnew(machine, attempt))
+              if ((!repeats || startsAnew(machine, attempt))
                   && (!done || settled(attempt.task()))
                   && !machine.runOpen(attempt)) {
-                if (harmless) {
-                  machine.openRuns().harmless(attempt.task());
-                }
                 orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
               }
             });
@@ -428,19 +428,20 @@
   }
 
   /**
-   * Whether a start of this task that comes once more does no harm. Its job is stored as done, so
-   * nobody can withdraw it, and the task only ends as done again, as soon as it has its image.
-   * Where teams have limits, one that fetches its image could seem to exceed them, so there it is
-   * kept for some time in which a copy may be under way. For the rest of a long session the worker
-   * need not list it: reports that list all that ran would take most of a leader's time.
+   * Raises the token under which this machine is spoken to, once it has to list many ended attempts
+   * or takes hardly any more starts by command. When it shows the new token it refuses all starts
+   * that were sent by command before, so what has ended may be cleared. Not while a command is
+   * under way, which the answer may overtake.
    */
-  private boolean mayComeAgain(Machine machine, TaskId task, Moment now) {
-    boolean over =
-        view.job(task.job()).filter(known -> known.phase() == JobRecord.Phase.DONE).isPresent();
-    return over
-        && (withoutLimits
-            || now.past(
-                machine.openRuns().overSince(task, now), timing.lease().times(KEPT_LEASES)));
+  private void raise(Machine machine) {
+    boolean due =
+        machine.openRuns().repeatable() >= OpenRuns.MOST_BY_COMMAND / 2
+            || machine.keptEnded() >= MOST_KEPT;
+    Token highest = view.standsUntil(token);
+    if (due && !machine.commanding() && machine.fence().raisable(highest)) {
+      machine.fence().raise(highest);
+      LOG.debug("machine {} gets token {}", machine.id(), highest);
+    }
   }
 
   private boolean settled(TaskId task) {
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.Room;
 
@@ -89,6 +90,7 @@
   private boolean commanding;
   private final OpenRuns openRuns = new OpenRuns();
   private final Hearing hearing = new Hearing();
+  private final Fence fence;
 
   Machine(
       MachineId id,
@@ -97,8 +99,10 @@
       String zone,
       boolean spot,
       State state,
+      Token granted,
       Moment known) {
     this.id = id;
+    this.fence = new Fence(granted);
     this.address = address;
     this.type = type;
     this.images = new Images(type.cacheGb());
@@ -443,7 +447,7 @@
     return leftovers.remembers(task) && !(openRuns.mayRepeat(task) && !openRuns.containsAny(task));
   }
 
-  /** Whether as many starts as may be have come by command in this session. */
+  /** Whether as many starts as may be have come by command under its present token. */
   public boolean startsByAnswersOnly() {
     return openRuns.full();
   }
@@ -466,6 +470,18 @@
     return hearing;
   }
 
+  /** The token under which it is spoken to. */
+  Fence fence() {
+    return fence;
+  }
+
+  /** Ended attempts that it has to list, since commands that start their tasks may come again. */
+  long keptEnded() {
+    return leftovers.uncleared().keySet().stream()
+        .filter(ended -> openRuns.mayRepeat(ended.task()))
+        .count();
+  }
+
   /** Runs that may still be executed later. */
   OpenRuns openRuns() {
     return openRuns;
--- a/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
+++ b/src/main/java/org/oakwalk/core/fleet/OpenRuns.java
@@ -4,33 +4,33 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.oakwalk.core.Moment;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 
 /** Runs that were sent to a machine and may still be executed, by what carried them. */
 final class OpenRuns {
   /**
-   * How many tasks that were started by command in one session may be kept in the machine's reports
-   * at a time. Further ones start with the answers to reports.
+   * How many tasks that were started by command may be kept in the machine's reports at a time.
+   * Further ones start with the answers to reports, until the machine shows a higher token.
    */
   static final int MOST_BY_COMMAND = 100;
 
+  /** Commands that carry one run and were not answered, and the token of the last one. */
+  private record Unanswered(int count, Token token) {}
+
   private final Set<Machine.Try> inResponse = new HashSet<>();
-  private final Map<Machine.Try, Integer> inCommand = new HashMap<>();
+  private final Map<Machine.Try, Unanswered> inCommand = new HashMap<>();
 
   /**
-   * Tasks that were started by command in this session. Such a command may come once more at any
-   * time of the session, long after it was answered. It has no effect as long as the worker knows
-   * an attempt at the task, so the last one must not be cleared.
+   * Tasks that were started by command in this session, with the token of the last one. Such a
+   * command may come once more at any time, long after it was answered, unless the session is over
+   * or the worker has seen a higher token. It has no effect as long as the worker knows an attempt
+   * at the task, so the last one must not be cleared.
    */
-  private final Set<TaskId> byCommand = new HashSet<>();
-
-  /** Since when the jobs of such tasks are known to be done. */
-  private final Map<TaskId, Moment> over = new HashMap<>();
+  private final Map<TaskId, Token> byCommand = new HashMap<>();
 
   void clear() {
     byCommand.clear();
-    over.clear();
     inCommand.clear();
     inResponse.clear();
   }
@@ -44,14 +44,25 @@
     inResponse.clear();
   }
 
-  void sentByCommand(Machine.Try attempt) {
-    byCommand.add(attempt.task());
-    inCommand.merge(attempt, 1, Integer::sum);
+  /** The worker refuses from now on what was sent by command under older tokens than this one. */
+  void fenced(Token token) {
+    byCommand.values().removeIf(older -> older.compareTo(token) < 0);
+    inCommand.values().removeIf(older -> older.token().compareTo(token) < 0);
+  }
+
+  void sentByCommand(Machine.Try attempt, Token token) {
+    byCommand.put(attempt.task(), token);
+    inCommand.merge(
+        attempt,
+        new Unanswered(1, token),
+        (before, one) -> new Unanswered(before.count() + 1, token));
   }
 
-  /** A command was answered. One that never is stays open until the session ends. */
+  /** A command was answered. One that never is stays open until the session or its token ends. */
   void commandSettled(Machine.Try attempt) {
-    inCommand.computeIfPresent(attempt, (key, count) -> count > 1 ? count - 1 : null);
+    inCommand.computeIfPresent(
+        attempt,
+        (key, open) -> open.count() > 1 ? new Unanswered(open.count() - 1, open.token()) : null);
   }
 
   /** Whether a command with this run was sent and has not been answered. */
@@ -59,15 +70,9 @@
     return inCommand.containsKey(attempt);
   }
 
-  /** Since when it is known that this task's job is done; that is now if it was not known. */
-  Moment overSince(TaskId task, Moment now) {
-    return over.computeIfAbsent(task, key -> now);
-  }
-
-  /** A command that starts this task does no harm any more, whenever it comes. */
-  void harmless(TaskId task) {
-    byCommand.remove(task);
-    over.remove(task);
+  /** How many tasks there are of which a command that starts them may come once more. */
+  int repeatable() {
+    return byCommand.size();
   }
 
   /** Whether no more starts may come by command for now. */
@@ -77,12 +82,12 @@
 
   /** Whether this task may be started by command. */
   boolean takesByCommand(TaskId task) {
-    return !full() || byCommand.contains(task);
+    return !full() || byCommand.containsKey(task);
   }
 
   /** Whether a command that starts this task may come once more. */
   boolean mayRepeat(TaskId task) {
-    return byCommand.contains(task);
+    return byCommand.containsKey(task);
   }
 
   /** Whether a run of any attempt at this task may still be executed for the first time. */
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -87,6 +87,8 @@
       machine.placements().forEach(Placement::unwatched);
     }
     machine.heard(now);
+    machine.fence().shows(report.token());
+    machine.openRuns().fenced(report.token());
     if (own) {
       machine.openRuns().responseSettled();
     }
@@ -103,7 +105,7 @@
       machine.hearing().deaf(Hearing.State.NOT_THE_TOKEN, now);
       fleet.settled(machine);
     }
-    if (machine.inDoubt() && report.token().equals(fleet.token())) {
+    if (machine.inDoubt() && machine.fence().covers(report.token())) {
       // Until this report an older leader may have renewed its lease.
       machine.renewed(now);
       fleet.settled(machine);
@@ -128,7 +130,7 @@
 
   /** Whether the machine takes what it is told, as far as this report shows. */
   private void listens(Machine machine, Report report, boolean freshSession, Moment now) {
-    if (report.token().equals(fleet.token())) {
+    if (machine.fence().covers(report.token())) {
       machine.hearing().showsToken();
     }
     Span lease = timing.lease();
--- a/src/main/java/org/oakwalk/core/leadership/Relay.java
+++ b/src/main/java/org/oakwalk/core/leadership/Relay.java
@@ -124,20 +124,31 @@
    */
   public void answer(Report report, Moment now, Consumer<Optional<Token>> then) {
     clock = now;
-    Optional<Token> token =
-        remoteLeader().map(StoreView.Leader::token).filter(report.token()::equals);
-    if (!worthwhile || !silent || token.isEmpty() || !report.zone().equals(zone)) {
+    Optional<Token> leader =
+        remoteLeader()
+            .map(StoreView.Leader::token)
+            .filter(granted -> toldBy(granted, report.token()));
+    Token shown = report.token();
+    if (!worthwhile || !silent || leader.isEmpty() || !report.zone().equals(zone)) {
       then.accept(Optional.empty());
     } else if (view.relayed(zone).isEmpty() && view.fresh(now)) {
-      waiting.add(known -> then.accept(token.filter(t -> known && may(t))));
+      waiting.add(known -> then.accept(leader.filter(t -> known && may(t)).map(t -> shown)));
       if (state == State.IDLE) {
-        announce(token.get(), now);
+        announce(leader.get(), now);
       }
     } else {
-      then.accept(token.filter(this::may));
+      then.accept(leader.filter(this::may).map(t -> shown));
     }
   }
 
+  /**
+   * Whether a worker can have this token from this leader alone. A leader raises its token up to
+   * revisions at which its key stood; as far as this copy reaches nobody else has claimed since.
+   */
+  private boolean toldBy(Token granted, Token shown) {
+    return shown.compareTo(granted) >= 0 && view.covers(shown);
+  }
+
   /**
    * Whether workers may be answered under this token now: it is announced, and not for too long.
    * The leader counts from when it saw that, so here it counts from the earliest moment at which it
--- a/src/main/java/org/oakwalk/core/leadership/ReportForwarding.java
+++ b/src/main/java/org/oakwalk/core/leadership/ReportForwarding.java
@@ -95,7 +95,7 @@
     Guest guest = guests.get(report.machine());
     if (guest == null) {
       // Who has the leader's token has been answered by it, and left it for a reason.
-      boolean known = report.token().equals(token);
+      boolean known = report.token().compareTo(token) >= 0;
       guests.put(report.machine(), new Guest(known ? State.VISITING : State.SENT_ON, now));
       return known;
     }
--- a/src/main/java/org/oakwalk/core/store/StoreView.java
+++ b/src/main/java/org/oakwalk/core/store/StoreView.java
@@ -262,6 +262,16 @@
     return position.value() >= token.value();
   }
 
+  /**
+   * The highest revision at which the key of the leader with this token is known to have stood. A
+   * later claim needs the key to be gone, so each later token is higher.
+   */
+  public Token standsUntil(Token granted) {
+    boolean stands =
+        state == State.LIVE && leader.filter(last -> last.token().equals(granted)).isPresent();
+    return stands && covers(granted) ? new Token(position.value()) : granted;
+  }
+
   /**
    * Whether nobody can have been granted this token yet: each change is a request, and the service
    * takes no more of them in the time since this copy was last confirmed.
--- a/src/test/java/org/oakwalk/core/fleet/DutyTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/DutyTest.java
@@ -9,6 +9,7 @@
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.job.Room;
 
 /** Which duties a machine may come to from which: the whole table. */
@@ -37,7 +38,7 @@
         new MachineType("m", new Room(4, 0, 16), 40, 1, 1, 0.3, Span.seconds(20), List.of("a"));
     Machine machine =
         new Machine(
-            new MachineId("m-1"), "", type, "a", false, Machine.State.UP, new Moment(1_000_000));
+            new MachineId("m-1"), "", type, "a", false, Machine.State.UP, new Token(1), new Moment(1_000_000));
     if (duty == Duty.CORDONED) {
       machine.duty(Duty.NEXT);
     }
--- a/src/test/java/org/oakwalk/core/fleet/StateTablesTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/StateTablesTest.java
@@ -16,6 +16,7 @@
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
@@ -119,7 +120,7 @@
   private static Machine machine(Machine.State state) {
     MachineType type =
         new MachineType("m", new Room(4, 0, 16), 40, 1, 1, 0.3, Span.seconds(20), List.of("a"));
-    return new Machine(new MachineId("m-1"), "", type, "a", false, state, NOW);
+    return new Machine(new MachineId("m-1"), "", type, "a", false, state, new Token(1), NOW);
   }
 
   private static Placement placement() {
