--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -129,6 +129,9 @@
       case "reruns" -> {
         return world.reruns <= line.number("most", 0);
       }
+      case "listed" -> {
+        return world.reportLoad.mostEnded() <= line.number("most", 0);
+      }
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
--- a/src/main/java/org/oakwalk/model/Figures.java
+++ b/src/main/java/org/oakwalk/model/Figures.java
@@ -259,6 +259,7 @@
     lines.put("machines_of_the_beginning_until_s", lastOfTheFirst);
     lines.put("longest_replica_gap_s", worstReplicaGap);
     lines.put("longest_gap_in_placing_s", longestWithoutStart);
+    lines.putAll(world.reportLoad.lines());
     return lines;
   }
 }
--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -57,6 +57,7 @@
     inFlight = true;
     NodeId to = world.nodes.get(node).id;
     Report report = worker.snapshot();
+    world.reportLoad.reported(report);
     world.network.send(
         worker.address(),
         to.value(),
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -75,6 +75,11 @@
     return starts.values().stream().mapToInt(Integer::intValue).sum();
   }
 
+  /** When each task was started for the first time. */
+  Map<TaskId, Double> firstStarts() {
+    return firstStart;
+  }
+
   Double firstStart(TaskId task) {
     return firstStart.get(task);
   }
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -268,9 +268,11 @@
     }
     expire();
     if (command.token().value() < token || command.session().value() != session) {
+      world.reportLoad.commanded(command, false);
       then.accept(new Answer.Commanded(false, snapshot()));
       return;
     }
+    world.reportLoad.commanded(command, true);
     sawToken(command.token());
     command.orders().forEach(this::execute);
     then.accept(new Answer.Commanded(true, snapshot()));
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -30,6 +30,7 @@
   final Figures figures = new Figures(this);
   final Nights nights;
   final Largest largest = new Largest(this);
+  final ReportLoad reportLoad = new ReportLoad(this);
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
