--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -88,6 +88,8 @@
       // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
       machine.placements().forEach(Placement::unwatched);
     }
+    machine.fence().shows(report.token());
+    machine.openRuns().fenced(report.token());
     if (own) {
       // Only these are answered, and so renew a lease: a machine that merely does what it is told
       // loses all its tasks when its lease is over.
@@ -107,7 +109,7 @@
       machine.hearing().deaf(Hearing.State.NOT_THE_TOKEN, now);
       fleet.settled(machine);
     }
-    if (machine.inDoubt() && report.token().equals(fleet.token())) {
+    if (machine.inDoubt() && machine.fence().covers(report.token())) {
       // Until this report an older leader may have renewed its lease.
       machine.renewed(now);
       fleet.settled(machine);
@@ -139,7 +141,7 @@
 
   /** Whether the machine takes what it is told, as far as this report shows. */
   private void listens(Machine machine, Report report, boolean freshSession, Moment now) {
-    if (report.token().equals(fleet.token())) {
+    if (machine.fence().covers(report.token())) {
       machine.hearing().showsToken();
     }
     Span lease = timing.lease();
