The model's state service keeps to its rates and its history where a scenario says so

Nodes' requests wait in the real queue for these rates. Rows of jobs can be cancelled in part, and scenarios can ask how long any job waited for its acceptance, start, end and cancellation.

--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -63,6 +63,12 @@
         + world.state.requests()
         + ", reads "
         + world.state.reads()
+        + ", too many "
+        + world.state.tooMany()
+        + ", waits "
+        + world.waits
+        + ", open "
+        + world.users.values().stream().filter(SimUser::asks).count()
         + ", reporting to the leader "
         + reporting();
   }
@@ -132,6 +138,16 @@
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
+      case "waits" -> {
+        return world.waits.longest(Waits.step(line.word(4))) <= line.number("most", 0);
+      }
+      case "open" -> {
+        return world.users.values().stream().filter(SimUser::asks).count()
+            <= line.number("most", 0);
+      }
+      case "toomany" -> {
+        return world.state.tooMany() <= line.number("most", 0);
+      }
       case "reads" -> {
         return world.state.reads() <= line.number("most", 1e9);
       }
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -110,6 +110,7 @@
     budgets.started(task, spec);
     starts.merge(task, 1, Integer::sum);
     firstStart.putIfAbsent(task, world.time.seconds());
+    world.waits.ends(Waits.Step.BEGUN, task.job());
     checkPlace(machine, task, spec);
     checkQuota(spec.team());
     Double told = toldCancelled.get(task.job());
@@ -197,6 +198,7 @@
 
   void completes(TaskId task) {
     completed.add(task);
+    world.waits.completed(task.job());
     world.figures.completed(task);
     budgets.completed(task);
   }
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -144,8 +144,19 @@
     }
     int number = (int) line.number(4);
     for (double at = line.number(2); at < line.number(3); at += line.number(1)) {
-      String job = "j-" + number++;
-      world.time.at(at, () -> submit(line, new JobId(job), line.word(5)));
+      JobId job = new JobId("j-" + number++);
+      world.time.at(at, () -> submit(line, job, line.word(5)));
+      cancelledOfMany(line, job, number - 1, at);
+    }
+  }
+
+  /** Each Nth of a row of jobs is cancelled, so many seconds after it was submitted, in turn. */
+  private void cancelledOfMany(Words line, JobId job, int number, double at) {
+    int nth = (int) line.number("cancels", 0);
+    if (nth > 0 && number % nth == 0) {
+      String[] times = line.text("by", "3").split(",");
+      double by = Double.parseDouble(times[number / nth % times.length]);
+      world.time.at(at + by, () -> world.users.get(job).cancel());
     }
   }
 
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -21,10 +21,12 @@
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.port.Response;
 import org.oakwalk.core.port.UserRequest;
+import org.oakwalk.core.store.RequestQueue;
 
 /** A controller node in virtual time: the real core between stand-ins. */
 final class SimNode {
   private static final long TICK = 50;
+  private static final long PUMP = 10;
   private static final long STATE_WAIT = 1200;
   private static final long OTHER_WAIT = 3000;
   private static final long BETWEEN_MILLIS = 110;
@@ -34,6 +36,10 @@
   final NodeId id;
   final String zone;
   private Controller controller;
+
+  /** Where requests to the state service wait for its rates, if it keeps to any. */
+  private RequestQueue line;
+
   private int life;
   private int ends;
   private boolean up;
@@ -81,6 +87,10 @@
             world.settingsOf(this),
             world.plans.policy(id, world.time.seconds()),
             id + "-life-" + life);
+    if (world.limited) {
+      line = new RequestQueue(world.settingsOf(this), world.time.now(), this::sendState);
+      pump(life);
+    }
     tick(life);
   }
 
@@ -237,18 +247,11 @@
         };
     Request request = call.request();
     if (request instanceof Request.State state) {
-      long hold = state instanceof Request.Watch watch ? watch.hold().millis() : 0;
-      world.time.after(STATE_WAIT + hold, () -> then.accept(new Answer.Nothing("timeout")));
-      there(
-          "state",
-          back("state", then),
-          reply -> {
-            if (refusedByState()) {
-              reply.accept(new Answer.Refused(503, "refused"));
-            } else {
-              serveState(state, reply);
-            }
-          });
+      if (world.limited) {
+        line.call(state, world.time.now(), then);
+      } else {
+        sendState(state, then);
+      }
     } else if (request instanceof Request.Cloud cloud) {
       world.time.after(OTHER_WAIT, () -> then.accept(new Answer.Nothing("timeout")));
       there("cloud", back("cloud", then), reply -> world.cloud.serve(cloud, reply));
@@ -279,6 +282,40 @@
     }
   }
 
+  private void sendState(Request.State request, Consumer<Answer> then) {
+    boolean[] over = new boolean[1];
+    Consumer<Answer> once =
+        answer -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.accept(answer);
+          }
+        };
+    long hold = request instanceof Request.Watch watch ? watch.hold().millis() : 0;
+    world.time.after(STATE_WAIT + hold, () -> once.accept(new Answer.Nothing("timeout")));
+    there(
+        "state",
+        back("state", once),
+        reply -> {
+          if (refusedByState()) {
+            reply.accept(new Answer.Refused(503, "refused"));
+          } else {
+            serveState(request, reply);
+          }
+        });
+  }
+
+  /** Sends what the rates allow by now, as the event loop does whenever something has happened. */
+  private void pump(int of) {
+    if (up && of == life) {
+      if (stillness == Stillness.NONE) {
+        line.clock(world.time.now());
+        line.pump(world.time.now());
+      }
+      world.time.after(PUMP, () -> pump(of));
+    }
+  }
+
   private boolean refusedByState() {
     return world.time.now() < refusedByStateUntil;
   }
--- a/src/main/java/org/oakwalk/model/SimState.java
+++ b/src/main/java/org/oakwalk/model/SimState.java
@@ -41,7 +41,8 @@
   private final Timeline time;
   private final TreeMap<String, Kept> keys = new TreeMap<>();
   private final Map<Long, Hold> holds = new HashMap<>();
-  private final List<News> history = new ArrayList<>();
+  private final ChangeHistory history;
+  private final Optional<StoreRates> rates;
   private final List<Watcher> watchers = new ArrayList<>();
   private final Set<Watcher> behind = Collections.newSetFromMap(new IdentityHashMap<>());
   private long epoch;
@@ -50,9 +51,18 @@
   private int writes;
   private int requests;
   private int reads;
+  private int tooMany;
 
-  SimState(Timeline time) {
+  /**
+   * A service without any keys.
+   *
+   * @param rates how much it takes a second; without them any amount
+   * @param changes how many it keeps for watches
+   */
+  SimState(Timeline time, Optional<StoreRates> rates, int changes) {
     this.time = time;
+    this.rates = rates;
+    this.history = new ChangeHistory(changes);
     time.after(50, this::tick);
   }
 
@@ -69,6 +79,11 @@
     return reads;
   }
 
+  /** Requests that were refused as too much. */
+  int tooMany() {
+    return tooMany;
+  }
+
   /** What is stored. */
   Optional<StoredValue> value(String key) {
     return Optional.ofNullable(keys.get(key)).map(Kept::value);
@@ -179,6 +194,9 @@
     reads += request instanceof Request.Watch watch && watch.hold().millis() == 0 ? 1 : 0;
     if (down()) {
       then.accept(new Answer.Refused(503, "down"));
+    } else if (rates.isPresent() && !rates.get().takes(request.writes())) {
+      tooMany++;
+      then.accept(new Answer.Refused(429, "too many"));
     } else if (request instanceof Request.ReadPage read) {
       then.accept(page(read));
     } else if (request instanceof Request.Watch watch) {
@@ -222,23 +240,16 @@
   }
 
   private void watch(Request.Watch watch, Consumer<Answer> then, BooleanSupplier refused) {
-    List<News> news = since(watch);
-    if (!news.isEmpty() || watch.hold().millis() == 0) {
+    List<News> news = history.since(watch);
+    if (history.tooOld(watch.after())) {
+      then.accept(new Answer.Refused(410, "too old"));
+    } else if (!news.isEmpty() || watch.hold().millis() == 0) {
       then.accept(new Answer.Changes(new Revision(epoch), news));
     } else {
       watchers.add(new Watcher(watch, then, time.now() + watch.hold().millis(), refused));
     }
   }
 
-  private List<News> since(Request.Watch watch) {
-    return history.stream()
-        .filter(
-            news ->
-                news.stamp().value() > watch.after().value()
-                    && news.key().startsWith(watch.prefix()))
-        .toList();
-  }
-
   private Answer commit(Request.Commit commit) {
     writes += commit.changes().size();
     List<String> failed = new ArrayList<>();
@@ -304,7 +315,13 @@
 
   /** Answers a watch if there is anything new for it. */
   private boolean tell(Watcher watcher) {
-    List<News> news = since(watcher.request());
+    List<News> news = history.since(watcher.request());
+    if (history.tooOld(watcher.request().after())) {
+      watchers.remove(watcher);
+      behind.remove(watcher);
+      watcher.then().accept(new Answer.Refused(410, "too old"));
+      return true;
+    }
     if (news.isEmpty()) {
       return false;
     }
--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -34,6 +34,7 @@
   void submit() {
     if (world.rules.submits(job)) {
       world.figures.submits(spec);
+      world.waits.begins(Waits.Step.ACCEPTED, job);
     }
     repeat(
         new UserRequest.Submit(job, Optional.of(spec), ""),
@@ -41,6 +42,8 @@
         response -> {
           if (response instanceof Response.JobStatus && acceptedAfter == null) {
             acceptedAfter = world.time.seconds() - began;
+            world.waits.ends(Waits.Step.ACCEPTED, job);
+            world.waits.begins(Waits.Step.BEGUN, job);
             if (!polling) {
               polling = true;
               poll();
@@ -48,6 +51,7 @@
           }
           if (response instanceof Response.Problem problem && problem.status() < 429) {
             refusedWith = problem.status();
+            world.waits.ends(Waits.Step.ACCEPTED, job);
             return true;
           }
           return response instanceof Response.JobStatus;
@@ -71,12 +75,18 @@
       return;
     }
     world.rules.asksToCancel(job);
+    world.waits.gone(Waits.Step.BEGUN, job);
+    world.waits.begins(Waits.Step.CANCELLED, job);
     repeat(
         new UserRequest.Withdraw(job),
         world.time.seconds(),
-        response ->
-            response instanceof Response.JobStatus
-                || response instanceof Response.Problem problem && problem.status() == 404);
+        response -> {
+          if (response instanceof Response.JobStatus) {
+            world.waits.ends(Waits.Step.CANCELLED, job);
+            return true;
+          }
+          return response instanceof Response.Problem problem && problem.status() == 404;
+        });
   }
 
   private void repeat(UserRequest request, double since, Predicate<Response> settled) {
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -25,8 +25,13 @@
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
+
+  /** Whether the state service keeps to its rates, so that nodes' requests wait for them. */
+  final boolean limited;
+
   final Plans plans;
   final Gangs gangs;
+  final Waits waits = new Waits(this);
   final Figures figures = new Figures(this);
   final Nights nights;
   final Largest largest = new Largest(this);
@@ -60,7 +65,12 @@
     this.lateness =
         new Lateness(
             time, settings.workers().lease().asSeconds(), Math.round(base.number("seed", 1)));
-    this.state = new SimState(time);
+    this.limited = base.has("limited");
+    this.state =
+        new SimState(
+            time,
+            limited ? Optional.of(new StoreRates(time, settings.state())) : Optional.empty(),
+            (int) base.number("changes", 10_000));
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
     int nodeCount = (int) base.number("nodes", 3);
@@ -81,6 +91,7 @@
   private void check() {
     gangs.tick();
     rules.tick();
+    waits.tick();
     figures.tick();
     nights.tick().ifPresent(rules::promiseTakenBack);
     time.after(500, this::check);
