--- a/src/main/java/org/oakwalk/core/store/RequestQueue.java
+++ b/src/main/java/org/oakwalk/core/store/RequestQueue.java
@@ -1,9 +1,10 @@
 package org.oakwalk.core.store;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
@@ -36,6 +37,14 @@
       return request.urgency().ordinal();
     }
 
+    boolean submission() {
+      return request.urgency() == Request.Urgency.ACCEPTANCE;
+    }
+
+    boolean lessUrgentThanSubmissions() {
+      return rank() > Request.Urgency.ACCEPTANCE.ordinal();
+    }
+
     /** A few small ones without which nobody leads: they wait for no budget. */
     boolean vital() {
       return request.urgency() == Request.Urgency.LEADERSHIP
@@ -54,6 +63,10 @@
   private final PriorityQueue<Waiting> writing = new PriorityQueue<>(ORDER);
   private final SplittableRandom jitter;
   private long numbers;
+
+  /** How much has been written for submissions since something less urgent began to wait. */
+  private int owed;
+
   private long clock;
   private long nextSweep;
 
@@ -86,15 +99,26 @@
     PriorityQueue<Waiting> line = line(request);
     line.add(new Waiting(request, ++numbers, now, then));
     if (line.size() > LONGEST) {
-      // Whoever would be served last gives way: a flood of submissions must not keep out the few
-      // withdrawals, claims and renewals. Reads have a line of their own.
-      Waiting last = Collections.max(line, ORDER);
+      // The last of whatever floods the line gives way: submissions must not keep out the few
+      // withdrawals, claims and ends of jobs. Reads have a line of their own.
+      Waiting last = lastOfMost(line);
       line.removeIf(waiting -> waiting == last);
       last.then().accept(new Answer.Refused(TOO_MANY, "queue is full"));
     }
     pump(now);
   }
 
+  /** Of the kind of which most wait, the one that came last. */
+  private static Waiting lastOfMost(PriorityQueue<Waiting> line) {
+    Map<Request.Urgency, List<Waiting>> kinds = new EnumMap<>(Request.Urgency.class);
+    line.forEach(
+        one -> kinds.computeIfAbsent(one.request().urgency(), u -> new ArrayList<>()).add(one));
+    return kinds.values().stream()
+        .max(Comparator.comparingInt(List::size))
+        .flatMap(most -> most.stream().max(ORDER))
+        .orElseThrow();
+  }
+
   private PriorityQueue<Waiting> line(Request.State request) {
     return request.writes() > 0 ? writing : reading;
   }
@@ -108,11 +132,17 @@
       sweep(writing, now);
     }
     for (Waiting next = next(now); next != null; next = next(now)) {
-      line(next.request()).poll();
-      requests.spend(1);
-      writes.spend(next.request().writes());
       Waiting sent = next;
-      sender.accept(next.request(), answer -> answered(sent, answer));
+      PriorityQueue<Waiting> line = line(sent.request());
+      if (line.peek() == sent) {
+        line.poll();
+      } else {
+        line.removeIf(waiting -> waiting == sent);
+      }
+      requests.spend(1);
+      writes.spend(sent.request().writes());
+      share(sent);
+      sender.accept(sent.request(), answer -> answered(sent, answer));
     }
   }
 
@@ -130,7 +160,7 @@
 
   /** What is to leave the line next, or null if nothing may now. */
   private Waiting next(long now) {
-    Waiting write = due(writing.peek(), now);
+    Waiting write = due(firstWrite(), now);
     Waiting read = due(reading.peek(), now);
     if (write == null || read == null) {
       return write == null ? read : write;
@@ -138,6 +168,38 @@
     return ORDER.compare(write, read) <= 0 ? write : read;
   }
 
+  /**
+   * The write that comes next. Users submit without end, while everything else is bounded by what
+   * was accepted or is there. So what is less urgent gets as much as submissions do once it waits:
+   * else no job would be done, nor any result safe, for as long as more is submitted than the
+   * service takes.
+   */
+  private Waiting firstWrite() {
+    Waiting first = writing.peek();
+    if (first == null || !first.submission() || owed == 0) {
+      return first;
+    }
+    return writing.stream()
+        .filter(one -> one.lessUrgentThanSubmissions() && one.request().writes() <= owed)
+        .min(Comparator.comparingLong(Waiting::number))
+        .orElse(first);
+  }
+
+  /** Counts how much submissions are ahead of what is less urgent. */
+  private void share(Waiting sent) {
+    int cost = sent.request().writes();
+    if (cost == 0) {
+      return;
+    }
+    if (writing.stream().noneMatch(Waiting::lessUrgentThanSubmissions)) {
+      owed = 0;
+    } else if (sent.submission()) {
+      owed += cost;
+    } else if (sent.lessUrgentThanSubmissions()) {
+      owed = Math.max(0, owed - cost);
+    }
+  }
+
   private Waiting due(Waiting first, long now) {
     if (first == null) {
       return null;
--- a/src/main/java/org/oakwalk/model/Waits.java
+++ b/src/main/java/org/oakwalk/model/Waits.java
@@ -45,6 +45,18 @@
     }
   }
 
+  /** Its user was told that it is accepted; it may have begun before that. */
+  void accepted(JobId job) {
+    ends(Step.ACCEPTED, job);
+    int tasks = world.specs.get(job).tasks();
+    for (int index = 0; index < tasks; index++) {
+      if (world.rules.firstStart(new TaskId(job, index)) != null) {
+        return;
+      }
+    }
+    begins(Step.BEGUN, job);
+  }
+
   /** It does not wait for this step any more, nor counts for having waited. */
   void gone(Step step, JobId job) {
     since.get(step).remove(job);
