--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -38,6 +38,7 @@
   void submit() {
     if (world.rules.submits(job)) {
       world.figures.submits(spec);
+      world.waits.begins(Waits.Step.ACCEPTED, job);
     }
     world.closeLooks.asks(job);
     gaveUp = false;
@@ -47,6 +48,7 @@
         response -> {
           if (response instanceof Response.JobStatus && acceptedAfter == null) {
             acceptedAfter = world.time.seconds() - began;
+            world.waits.accepted(job);
             if (!polling) {
               polling = true;
               poll();
@@ -54,6 +56,7 @@
           }
           if (response instanceof Response.Problem problem && problem.status() < 429) {
             refusedWith = problem.status();
+            world.waits.ends(Waits.Step.ACCEPTED, job);
             return true;
           }
           return response instanceof Response.JobStatus;
@@ -89,12 +92,22 @@
     }
     world.rules.asksToCancel(job);
     world.closeLooks.asks(job);
+    world.waits.gone(Waits.Step.BEGUN, job);
+    world.waits.begins(Waits.Step.CANCELLED, job);
     repeat(
         new UserRequest.Withdraw(job),
         world.time.seconds(),
-        response ->
-            response instanceof Response.JobStatus
-                || response instanceof Response.Problem problem && problem.status() == 404);
+        response -> {
+          if (response instanceof Response.JobStatus) {
+            world.waits.ends(Waits.Step.CANCELLED, job);
+            return true;
+          }
+          boolean unknown = response instanceof Response.Problem p && p.status() == 404;
+          if (unknown) {
+            world.waits.gone(Waits.Step.CANCELLED, job);
+          }
+          return unknown;
+        });
   }
 
   /** The first request goes to this node, repeated ones go where the load balancer sends them. */
