--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -214,7 +214,7 @@
 
   /** Whether a worker shows a higher token than this leader has told it. */
   boolean above(Report report) {
-    return report.token().compareTo(fleet.tokenOf(report.machine())) > 0;
+    return fleet.above(report);
   }
 
   /** A job was stored, finished or withdrawn. */
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -273,6 +273,16 @@
     return token;
   }
 
+  /**
+   * Whether a worker shows a higher token than it can have from this leader. A late report of a
+   * machine that is gone may show any that the leader has told.
+   */
+  public boolean above(Report report) {
+    Machine machine = machines.get(report.machine());
+    Token told = machine == null ? view.standsUntil(token) : machine.fence().current();
+    return report.token().compareTo(told) > 0;
+  }
+
   /** The token under which a machine is spoken to; one that is not known yet by the leader's own. */
   public Token tokenOf(MachineId id) {
     Machine machine = machines.get(id);
