--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -69,8 +69,15 @@
     if (own && machine.sessions().givenUp(report.session(), report.sequence())) {
       return Optional.empty();
     }
-    if (machine.state() == Machine.State.GONE
-        || machine.sessions().stale(report.session(), report.sequence())) {
+    if (machine.state() == Machine.State.GONE) {
+      return Optional.of(machine);
+    }
+    if (machine.sessions().stale(report.session(), report.sequence())) {
+      if (own) {
+        // The answer to a command has overtaken it. It tells nothing new, but that the machine
+        // reports, and its worker takes the answer.
+        machine.heard(now);
+      }
       return Optional.of(machine);
     }
     boolean otherSession = machine.session().filter(report.session()::equals).isEmpty();
