--- a/src/main/java/org/oakwalk/model/Hunt.java
+++ b/src/main/java/org/oakwalk/model/Hunt.java
@@ -127,13 +127,15 @@
         random.nextBoolean() ? "saves=4 save=1" : "");
     finite.add("j-47");
     int first = Math.max(4, at - 4);
+    int until = Math.min(OVER - 5, first + 5 + lasts);
+    int tenths = 10 + random.nextInt(10);
     add(
         "every %.1f %d %d 500 array class=ends tasks=%d run=%s",
-        1 + random.nextDouble(),
-        first,
-        Math.min(OVER - 5, first + 5 + lasts),
-        1 + random.nextInt(3),
-        random.nextBoolean() ? "3" : "2,5,8");
+        tenths / 10.0, first, until, 1 + random.nextInt(3), random.nextBoolean() ? "3" : "2,5,8");
+    for (int i = 0; i * tenths < 10 * (until - first); i += 2) {
+      // Their users ask again long after, and may not be told anything else.
+      add("at %.1f submit j-%d array", Draw.LAST_TROUBLE_ENDS + 3 + i / 10.0, 500 + i);
+    }
   }
 
   private void trouble(Kind kind, int at, int drawn) {
@@ -143,10 +145,7 @@
       case MUTE_MACHINES -> add("at %d noreports %s for=%d", at, meetings.some(), lasts);
       case RUSH -> rush(at + random.nextDouble(), Math.min(lasts, 1 + random.nextInt(14)));
       case RUSH_AS_REFUSED -> rushAsRefused(at);
-      case AT_THE_END ->
-          add(
-              "at %d cancelatend class=ends for=%d share=%s within=%s",
-              at, lasts, share(), random.nextBoolean() ? "0" : "1.5");
+      case AT_THE_END -> atTheEnd(at, lasts);
       case CLOSE_LOOKS ->
           add(
               "at %d closelooks for=%d every=%d rounds=%d early=%.1f %s",
@@ -194,14 +193,28 @@
         at, 1 + random.nextInt(4), random.nextBoolean() ? " hang=" + hang : "");
   }
 
-  /** The leader alone is refused as users cancel, and a second later all are, for very long. */
+  /** The leader alone is refused, or stands still, as users cancel; then all are, for very long. */
   private void rushAsRefused(int at) {
     int out = Math.min(OVER - at - 2, cancel - 5 + random.nextInt(15));
-    add("at %d refuse leading for=%d", at, 2 + random.nextInt(14));
+    if (random.nextInt(3) == 0) {
+      add("at %d freeze leading for=%d", at, 2 + random.nextInt(8));
+    } else {
+      add("at %d refuse leading for=%d", at, 2 + random.nextInt(14));
+    }
     rush(at + (random.nextBoolean() ? 0 : random.nextDouble()), 1 + random.nextInt(12));
     add("at %.1f outage state for=%d", at + 0.5 + random.nextDouble(), out);
   }
 
+  /** Jobs are called off as they end, while what is written of it may be late. */
+  private void atTheEnd(int at, int lasts) {
+    add(
+        "at %d cancelatend class=ends for=%d share=%s within=%s",
+        at, lasts, share(), random.nextBoolean() ? "0" : "1.5");
+    if (random.nextBoolean()) {
+      add("at %d latewrites leading for=%d share=%s key=oak/a/job/", at, lasts, share());
+    }
+  }
+
   /** New machines get work while writes lag, and the leader ends. */
   private void quickBoots(int at, int lasts) {
     add("at %d quickboots %.1f", at, 0.2 + 0.3 * random.nextInt(6));
