--- a/src/main/java/org/oakwalk/model/Reporting.java
+++ b/src/main/java/org/oakwalk/model/Reporting.java
@@ -58,6 +58,7 @@
     inFlight = true;
     NodeId to = world.nodes.get(node).id;
     Report report = worker.snapshot();
+    world.reportLoad.reported(report);
     if (!world.noReports.lose(worker.address())) {
       send(
           report,
