--- a/src/main/java/org/oakwalk/model/SimState.java
+++ b/src/main/java/org/oakwalk/model/SimState.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.oakwalk.core.HoldId;
+import org.oakwalk.core.JobId;
 import org.oakwalk.core.Revision;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Request;
@@ -19,6 +20,7 @@
 import org.oakwalk.core.store.Change;
 import org.oakwalk.core.store.Entry;
 import org.oakwalk.core.store.Guard;
+import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.Keys;
 import org.oakwalk.core.store.News;
 import org.oakwalk.core.store.StoredValue;
@@ -79,6 +81,12 @@
     return keys.keySet().stream().filter(key -> key.startsWith(prefix)).count();
   }
 
+  /** Whether a job is stored, and not as over. */
+  boolean open(JobId job) {
+    return value(Keys.job(job)).orElse(null) instanceof JobRecord record
+        && record.phase() == JobRecord.Phase.OPEN;
+  }
+
   /** The rows of a record that leaders keep, in the revision that counts. */
   List<SharedRow> rows(String name) {
     if (!(value(Keys.sharedHead(name)).orElse(null) instanceof StoredValue.SharedHead head)) {
--- a/src/test/java/org/oakwalk/scenario/TroublesTest.java
+++ b/src/test/java/org/oakwalk/scenario/TroublesTest.java
@@ -18,6 +18,7 @@
 class TroublesTest {
   private static final int SEEDS = 80;
   private static final int MEETINGS = 120;
+  private static final int HUNTS = 120;
 
   @TestFactory
   List<DynamicTest> troubles() {
@@ -64,6 +65,22 @@
     return seed > MEETINGS - 40 ? draw.withRoll() : draw;
   }
 
+  /** The newer kinds, with teams at their limits; a share in a roll, a share with all products. */
+  @TestFactory
+  List<DynamicTest> meetingsToHunt() {
+    return IntStream.rangeClosed(1, HUNTS)
+        .mapToObj(seed -> DynamicTest.dynamicTest("seed " + seed, () -> play(seed, hunts(seed))))
+        .toList();
+  }
+
+  private static Draw hunts(int seed) {
+    Draw draw = new Draw(seed).withHunts();
+    if (seed > HUNTS - 10) {
+      return draw.withProducts();
+    }
+    return seed > HUNTS - 20 ? draw.withRoll() : draw;
+  }
+
   private static void play(int seed, Draw draw) {
     String text = draw.text();
     try {
