Jobs bound to one zone get machines there, whatever other zones hold

What is rented was found out by machine type alone. Now what such jobs have lacked for 20 s is rented in their zone, within their teams' limits and less what is on its way or free there; what others hold too much goes as before.

--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -176,7 +176,8 @@
             runTimes,
             planner,
             suspectAfter,
-            sort -> bars(view, sort));
+            sort -> bars(view, sort),
+            spec -> quota.placesLeft(spec.team(), spec.room()));
     capacity.keeps(headroom::kept);
     this.drainer =
         new Drainer(
--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Policy;
@@ -57,6 +58,7 @@
   private final Health health;
   private final Renter renter;
   private final Surplus surplus;
+  private final BoundWork bound;
   private Supplier<List<JobSpec>> kept = List::of;
   private final Set<MachineId> returned = new HashSet<>();
   private final Set<Machine> releasing = new HashSet<>();
@@ -78,6 +80,7 @@
    * Decides for a fleet.
    *
    * @param bars sorts of machines that must not be rented at present
+   * @param placesLeft for how many tasks more of a job its team's limit leaves room
    */
   public Capacity(
       Outbox outbox,
@@ -89,7 +92,8 @@
       RunTimes runTimes,
       Deadlines planned,
       Span suspectAfter,
-      Predicate<Boots.Sort> bars) {
+      Predicate<Boots.Sort> bars,
+      ToIntFunction<JobSpec> placesLeft) {
     this.outbox = outbox;
     this.fleet = fleet;
     this.jobs = jobs;
@@ -102,6 +106,7 @@
     this.surplus = new Surplus(fleet, policy, suspectAfter);
     this.renter = new Renter(outbox, fleet, boots, bars);
     this.demand = new Demand(settings.objectives(), runTimes, planned);
+    this.bound = new BoundWork(fleet, jobs, demand, placesLeft);
   }
 
   /** What tells broken machines from those that are merely out of reach. */
@@ -239,7 +244,7 @@
     Map<String, Need> needs = new HashMap<>();
     for (Job job : jobs.all()) {
       if (job.open()) {
-        MachineType type = cheapest(job.spec());
+        MachineType type = Demand.cheapest(job.spec(), types.values());
         if (type != null) {
           double machines = Demand.machines(job.spec().room(), demand.slots(job, type, wall), type);
           boolean spot = job.spec().spotAllowed();
@@ -251,7 +256,7 @@
       }
     }
     for (JobSpec spec : kept.get()) {
-      MachineType type = cheapest(spec);
+      MachineType type = Demand.cheapest(spec, types.values());
       if (type != null) {
         double machines = Demand.machines(spec.room(), spec.tasks(), type);
         needs.merge(
@@ -277,6 +282,20 @@
       int wanted = need.total() <= 0 ? 0 : (int) Math.ceil(ready) + policy.spareMachines();
       adjust(type, need, wanted, now);
     }
+    bound
+        .missing(spec -> Demand.cheapest(spec, types.values()), suspectAfter, now, wall)
+        .forEach((sort, count) -> supply(sort, count, now));
+  }
+
+  /** Gets machines in one zone, whatever is held elsewhere; that becomes surplus later. */
+  private void supply(Boots.Sort sort, int count, Moment now) {
+    int left = count - surplus.keep(sort, count, now);
+    if (left > 0 && sort.spot()) {
+      left -= renter.rent(sort, left, now);
+    }
+    if (left > 0) {
+      renter.rent(new Boots.Sort(sort.type(), sort.zone(), false), left, now);
+    }
   }
 
   private int held(MachineType type) {
@@ -289,22 +308,6 @@
     return held;
   }
 
-  /** The type that costs least for one task. */
-  private MachineType cheapest(JobSpec spec) {
-    MachineType best = null;
-    double least = Double.MAX_VALUE;
-    for (MachineType type : types.values()) {
-      boolean allowed =
-          type.zones().stream().anyMatch(zone -> spec.allows(type.name(), zone, false));
-      int each = type.room().count(spec.room());
-      if (allowed && each > 0 && type.price() / each < least) {
-        least = type.price() / each;
-        best = type;
-      }
-    }
-    return best;
-  }
-
   private void adjust(MachineType type, Need need, int wanted, Moment now) {
     int ordinary = 0;
     int spot = 0;
--- a/src/main/java/org/oakwalk/core/capacity/Demand.java
+++ b/src/main/java/org/oakwalk/core/capacity/Demand.java
@@ -1,5 +1,6 @@
 package org.oakwalk.core.capacity;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.oakwalk.core.Settings;
@@ -115,6 +116,22 @@
     return target == NEVER ? Optional.empty() : Optional.of(target);
   }
 
+  /** The type that costs least for one task. */
+  static MachineType cheapest(JobSpec spec, Collection<MachineType> types) {
+    MachineType best = null;
+    double least = Double.MAX_VALUE;
+    for (MachineType type : types) {
+      boolean allowed =
+          type.zones().stream().anyMatch(zone -> spec.allows(type.name(), zone, false));
+      int each = type.room().count(spec.room());
+      if (allowed && each > 0 && type.price() / each < least) {
+        least = type.price() / each;
+        best = type;
+      }
+    }
+    return best;
+  }
+
   /** Room for that many tasks, as a number of machines of a type. */
   static double machines(Room task, double slots, MachineType type) {
     int each = type.room().count(task);
--- a/src/main/java/org/oakwalk/core/capacity/Renter.java
+++ b/src/main/java/org/oakwalk/core/capacity/Renter.java
@@ -87,6 +87,21 @@
     return asked;
   }
 
+  /** Asks for machines of one sort, wherever others are; returns for how many it has asked. */
+  int rent(Boots.Sort sort, int count, Moment now) {
+    clock = now;
+    if (asking.contains(sort)) {
+      // The answer that is still out may bring what is missing.
+      return count;
+    }
+    if (!free(sort, now) || bars.test(sort) || boots.blamed(sort, now)) {
+      return 0;
+    }
+    int number = Math.min(count, MOST_PER_ASK);
+    ask(sort, AskId.of(fleet.token(), ++asks), number, 5);
+    return number;
+  }
+
   /** Whether a plan empties it: its replacement is to come up where it was. */
   private static boolean leaves(Machine machine) {
     return machine.duty() == Duty.NEXT || machine.duty() == Duty.CORDONED;
--- a/src/main/java/org/oakwalk/core/capacity/Surplus.java
+++ b/src/main/java/org/oakwalk/core/capacity/Surplus.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Policy;
 import org.oakwalk.core.Span;
@@ -29,9 +30,31 @@
 
   /** Takes machines back into use that were to be returned; returns how many. */
   int keep(MachineType type, int count, Moment now) {
+    return keep(type, machine -> true, count, now);
+  }
+
+  /** As above, of one sort; ordinary ones do as well where spot machines do. */
+  int keep(Boots.Sort sort, int count, Moment now) {
+    return fleet.machines().stream()
+        .map(Machine::type)
+        .filter(type -> type.name().equals(sort.type()))
+        .findFirst()
+        .map(
+            type ->
+                keep(
+                    type,
+                    machine ->
+                        machine.zone().equals(sort.zone()) && (sort.spot() || !machine.spot()),
+                    count,
+                    now))
+        .orElse(0);
+  }
+
+  private int keep(MachineType type, Predicate<Machine> which, int count, Moment now) {
     List<Machine> candidates = new ArrayList<>();
     for (Machine machine : fleet.machines()) {
       if (machine.type().name().equals(type.name())
+          && which.test(machine)
           && machine.state() == Machine.State.UP
           && machine.duty() == Duty.RETIRING
           && !now.past(machine.heard(), suspectAfter)) {
