--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Settings;
@@ -29,6 +30,8 @@
   private final BudgetRule budgets;
   private final CrowdedRule crowds;
   private final ExchangeRule exchanges;
+  private final WaitingRule waiting;
+  private final CanRun canRun;
   private final Map<TaskId, List<Place>> places = new HashMap<>();
   private final Map<String, Room> teamUse = new HashMap<>();
   private final Map<TaskId, Integer> starts = new HashMap<>();
@@ -36,7 +39,8 @@
   private final Set<TaskId> completed = new HashSet<>();
   private final Map<JobId, Double> toldCancelled = new HashMap<>();
   private final Map<JobId, Response.JobState> toldFinal = new HashMap<>();
-  private final Map<JobId, Double> toldFinalAt = new HashMap<>();
+  private final Map<JobId, Long> toldFinalAt = new HashMap<>();
+  private final Map<JobId, Long> toldAcceptedAt = new HashMap<>();
   private final Set<JobId> submitted = new HashSet<>();
   private final Set<JobId> accepted = new LinkedHashSet<>();
   private final Set<JobId> cancelAsked = new HashSet<>();
@@ -44,18 +48,25 @@
   private final Map<String, String> broken = new LinkedHashMap<>();
 
   private double calmAfter;
+  private double latestStart;
+
+  /** How many answers users have received. */
+  private long answers;
 
   Rules(World world) {
     this.world = world;
     this.budgets = new BudgetRule(world);
     this.crowds = new CrowdedRule(world);
     this.exchanges = new ExchangeRule(world);
+    this.waiting = new WaitingRule(world);
+    this.canRun = new CanRun(world);
   }
 
   /** All troubles are over then; from then on every question about a job has to find an answer. */
   void calmAfter(double seconds) {
     calmAfter = seconds;
     exchanges.calmAfter(seconds);
+    waiting.calmAfter(seconds);
   }
 
   /** The broken rules, each with when and how it was first. */
@@ -67,6 +78,11 @@
     broken.putIfAbsent(rule, String.format("%.1f s: %s", world.time.seconds(), how));
   }
 
+  /** The latest start of a task of a cancelled job, in seconds after its user was told. */
+  double latestStart() {
+    return latestStart;
+  }
+
   int starts(TaskId task) {
     return starts.getOrDefault(task, 0);
   }
@@ -90,6 +106,11 @@
     breaks("promise_taken_back", how);
   }
 
+  /** A controller that knows that a job is cancelled orders a start of one of its tasks. */
+  void startsCancelled(SimNode node, TaskId task) {
+    breaks("started_after_cancel", node.id + " orders a start of " + task);
+  }
+
   boolean hasCompleted(TaskId task) {
     return completed.contains(task);
   }
@@ -114,6 +135,9 @@
     checkPlace(machine, task, spec);
     checkQuota(spec.team());
     Double told = toldCancelled.get(task.job());
+    if (told != null) {
+      latestStart = Math.max(latestStart, world.time.seconds() - told);
+    }
     if (told != null && world.time.seconds() - told > cancelSeconds()) {
       breaks("ran_cancelled", task + " starts on " + machine.id);
     }
@@ -201,12 +225,15 @@
     world.waits.completed(task.job());
     world.figures.completed(task);
     budgets.completed(task);
+    world.cancellations.completed(task.job());
+    world.closeLooks.completes(task);
   }
 
   /** To be called now and then: tasks of cancelled jobs must be gone in time. */
   void tick() {
     crowds.tick();
     exchanges.tick().forEach(this::breaks);
+    waiting.tick().ifPresent(how -> breaks("left_waiting", how));
     places.forEach(
         (task, at) -> {
           Double told = toldCancelled.get(task.job());
@@ -236,6 +263,11 @@
     cancelAsked.add(job);
   }
 
+  /** A moment between two answers: what was told before it is known to whoever asks now. */
+  long moment() {
+    return answers;
+  }
+
   Response.JobState told(JobId job) {
     return toldFinal.get(job);
   }
@@ -255,9 +287,9 @@
   }
 
   /** The answer to a late copy of a question: it may say nothing wrong, but answers no user. */
-  void toldAgain(JobId job, boolean submission, double asked, Response response) {
+  void toldAgain(JobId job, boolean submission, long asked, Response response, SimNode by) {
     Double last = lastAnswer.get(job);
-    told(job, submission, asked, response);
+    told(job, submission, asked, response, Optional.of(by));
     if (last == null) {
       lastAnswer.remove(job);
     } else {
@@ -268,12 +300,13 @@
   /**
    * A user has received an answer.
    *
-   * @param asked when the question came to a node, in seconds: an answer to a question from before
-   *     the job's final state was told to anybody may be as old as the question
+   * @param asked the {@link #moment} at which the question was sent: its answer may be older than
+   *     what anybody was told after that, but not older than what anybody was told before
    */
-  void told(JobId job, boolean submission, double asked, Response response) {
+  void told(JobId job, boolean submission, long asked, Response response, Optional<SimNode> by) {
+    answers++;
     if (response instanceof Response.Problem problem) {
-      if (accepted.contains(job) && problem.status() == 404) {
+      if (problem.status() == 404 && asked >= toldAcceptedAt.getOrDefault(job, Long.MAX_VALUE)) {
         breaks("forgotten", job + " is answered 404");
       }
       if (accepted.contains(job)
@@ -288,6 +321,11 @@
       breaks("invented", job + " is answered 200");
       return;
     }
+    Optional<String> whyNot = canRun.whyNot(job);
+    if (whyNot.isPresent()) {
+      breaks("accepted_wrongly", job + " " + whyNot.get());
+      return;
+    }
     Response.JobState before = toldFinal.get(job);
     boolean isFinal =
         status.state() == Response.JobState.DONE || status.state() == Response.JobState.CANCELLED;
@@ -295,9 +333,10 @@
       return;
     }
     accepted.add(job);
+    toldAcceptedAt.putIfAbsent(job, answers);
     lastAnswer.put(job, world.time.seconds());
     if (isFinal) {
-      toldFinalAt.putIfAbsent(job, world.time.seconds());
+      toldFinalAt.putIfAbsent(job, answers);
     }
     if (before != null && before != status.state()) {
       breaks("went_back", job + " was " + before + " and is " + status.state());
@@ -323,5 +362,6 @@
         breaks("went_back", job + " is called cancelled although nobody asked");
       }
     }
+    world.closeLooks.told(job, isFinal, by);
   }
 }
