--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -42,11 +42,11 @@
   final NodeId id;
   final String zone;
   private Controller controller;
+  private KnownCancelled cancelled = new KnownCancelled();
 
   /** Where requests to the state service wait for its rates, if it keeps to any. */
   private RequestQueue line;
 
-  private KnownCancelled cancelled = new KnownCancelled();
   private int life;
   private int ends;
   private boolean up;
@@ -262,6 +262,7 @@
         answer -> {
           if (!answered[0] && up && of == life) {
             answered[0] = true;
+            world.givenUp.answered(call.request(), answer);
             inside(
                 () -> {
                   cancelled.answered(call.request(), answer);
@@ -306,6 +307,19 @@
     }
   }
 
+  /** A start leaves it that its core did not decide. */
+  void orderStart(TaskId task, SimWorker worker) {
+    List<Order> orders = List.of(new Order.Run(task, new Attempt(Long.MAX_VALUE >> 1)));
+    carryOut(
+        new Effect.Call(
+            new CallId(Long.MAX_VALUE),
+            new Request.Command(
+                worker.address(),
+                new Token(worker.token()),
+                new SessionId(worker.session()),
+                orders)));
+  }
+
   private void sendState(Request.State request, Consumer<Answer> then) {
     boolean[] over = new boolean[1];
     Consumer<Answer> once =
@@ -340,19 +354,6 @@
     }
   }
 
-  /** A start leaves it that its core did not decide. */
-  void orderStart(TaskId task, SimWorker worker) {
-    List<Order> orders = List.of(new Order.Run(task, new Attempt(Long.MAX_VALUE >> 1)));
-    carryOut(
-        new Effect.Call(
-            new CallId(Long.MAX_VALUE),
-            new Request.Command(
-                worker.address(),
-                new Token(worker.token()),
-                new SessionId(worker.session()),
-                orders)));
-  }
-
   private boolean refusedByState() {
     return world.time.now() < refusedByStateUntil;
   }
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -25,6 +25,7 @@
   final Cancellations cancellations;
   final OddRequests oddRequests = new OddRequests(this);
   final CloseLooks closeLooks;
+  final GivenUp givenUp = new GivenUp(time);
   final KeptReports keptReports;
   final NoReports noReports = new NoReports(time);
   final SimState state;
@@ -40,6 +41,7 @@
   final Figures figures = new Figures(this);
   final Nights nights;
   final Largest largest = new Largest(this);
+  final ReportLoad reportLoad = new ReportLoad(this);
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
@@ -67,17 +69,17 @@
     this.settings = settings;
     this.plans = plans;
     this.nights = new Nights(this, plans.dawns());
+    long seed = Math.round(base.number("seed", 1));
+    this.lateness = new Lateness(time, settings.workers().lease().asSeconds(), seed);
+    this.cancellations = new Cancellations(this, seed);
+    this.closeLooks = new CloseLooks(this, seed);
+    this.keptReports = new KeptReports(this, seed);
     this.limited = base.has("limited");
     this.state =
         new SimState(
             time,
             limited ? Optional.of(new StoreRates(time, settings.state())) : Optional.empty(),
             (int) base.number("changes", 10_000));
-    long seed = Math.round(base.number("seed", 1));
-    this.lateness = new Lateness(time, settings.workers().lease().asSeconds(), seed);
-    this.cancellations = new Cancellations(this, seed);
-    this.closeLooks = new CloseLooks(this, seed);
-    this.keptReports = new KeptReports(this, seed);
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
     int nodeCount = (int) base.number("nodes", 3);
