--- a/src/test/java/org/oakwalk/scenario/LateWritesTest.java
+++ b/src/test/java/org/oakwalk/scenario/LateWritesTest.java
@@ -97,6 +97,8 @@
         at 140 expect j-1 on least=2
         at 140 expect j-5 on most=0
         at 140 expect j-8 on most=0
+        at 140 expect keys oak/done/ most=0
+        at 140 expect keys oak/machine most=4
         end 140
         """,
         when,
