--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -163,6 +163,10 @@
       }
     }
     for (Placement placement : missing) {
+      if (placement.state() == Placement.State.OVER) {
+        // A later attempt at its task is listed.
+        continue;
+      }
       boolean seen = placement.state() != Placement.State.ORDERED;
       boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
       if (seen || (placement.halting() && !open)) {
@@ -250,6 +254,7 @@
       }
       return;
     }
+    endOlder(piece, now);
     if (!job.isFree(index)) {
       LOG.info("task {} try {} is on {} astray", piece.task(), piece.attempt(), machine.id());
       machine.leftovers().stray(attempt, job.spec().room());
@@ -263,6 +268,22 @@
     }
   }
 
+  /**
+   * Ends an older attempt at this piece's task, which only an old report can have listed: a copy
+   * that reached this leader ahead of newer ones, from a machine that was returned or a session
+   * that is over. An attempt is ordered only once all before it are surely over, so the older one
+   * is nowhere, and to stop the newer one would lose what the task has done.
+   */
+  private void endOlder(Report.Piece piece, Moment now) {
+    Placement other = fleet.placementOf(piece.task()).orElse(null);
+    if (other != null
+        && other.attempt().value() < piece.attempt().value()
+        && piece.attempt().token().compareTo(fleet.token()) < 0) {
+      LOG.info("task {} try {} is over, as it has begun again", piece.task(), other.attempt());
+      fleet.lose(other, now);
+    }
+  }
+
   private void completeElsewhere(Job job, TaskId task, Moment now) {
     job.complete(task.index(), now);
     fleet
