--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -186,6 +186,7 @@
     if (!strayed.equals(machine.leftovers().strayRoom())) {
       fleet.doubtChanged();
     }
+    // A later attempt at its task is listed.
     missing.removeIf(placement -> placement.state() == Placement.State.OVER);
     for (Placement placement : missing) {
       boolean seen = placement.state() != Placement.State.ORDERED;
