Rule crowded counts a machine from the moment it is up

It counted the places of a machine from its regular look each half second on, or from a start there; of machines that came up together between two looks it missed the one on which the room is kept, and took the start on the other for a breach. It now looks at a machine as it comes up, as it does when one has room again.

--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -106,6 +106,7 @@
     if (goneAt == Long.MAX_VALUE) {
       bootedAt = world.time.now();
       renewedAt = bootedAt;
+      world.rules.freesRoom(this);
       step();
     }
   }
