--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -139,6 +139,9 @@
       case "reruns" -> {
         return world.reruns <= line.number("most", 0);
       }
+      case "listed" -> {
+        return world.reportLoad.mostEnded() <= line.number("most", 0);
+      }
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
@@ -194,6 +197,7 @@
       case "unaccepted" -> !world.rules.accepted(job);
       case "open" -> world.rules.accepted(job) && world.rules.told(job) == null;
       case "cancelled" -> world.rules.told(job) == Response.JobState.CANCELLED;
+      case "over" -> world.rules.over(job);
       case "on" ->
           world.rules.on(job) >= line.number("least", 0)
               && world.rules.on(job) <= line.number("most", 1e9);
