--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -302,7 +302,7 @@
     }
     fleet
         .placementOf(piece.task())
-        .filter(earlier -> earlier.machine().inDoubt())
+        .filter(earlier -> !confirmed(earlier.machine()))
         .filter(earlier -> earlier.attempt().value() < piece.attempt().value())
         .ifPresent(
             earlier -> {
@@ -312,6 +312,11 @@
             });
   }
 
+  /** Whether it has shown what is there now; one that is not registered has not either. */
+  private static boolean confirmed(Machine machine) {
+    return machine.state() == Machine.State.UP && !machine.inDoubt();
+  }
+
   private void completeElsewhere(Job job, TaskId task, Moment now) {
     job.complete(task.index(), now);
     fleet
