--- /dev/null
+++ b/src/test/java/org/oakwalk/core/leadership/RelayTest.java
@@ -0,0 +1,114 @@
+package org.oakwalk.core.leadership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oakwalk.core.MachineId;
+import org.oakwalk.core.Moment;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Revision;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.Settings;
+import org.oakwalk.core.Span;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.port.Answer;
+import org.oakwalk.core.port.Effect;
+import org.oakwalk.core.port.Outbox;
+import org.oakwalk.core.port.Request;
+import org.oakwalk.core.store.Entry;
+import org.oakwalk.core.store.Keys;
+import org.oakwalk.core.store.KnownJob;
+import org.oakwalk.core.store.News;
+import org.oakwalk.core.store.StoreView;
+import org.oakwalk.core.store.StoredValue;
+
+/** Which workers a follower answers for a leader that raises its token. */
+class RelayTest {
+  private static final Token GRANTED = new Token(7);
+
+  private final Outbox outbox = new Outbox();
+  private final StoreView view = new StoreView(outbox, 200, 3);
+  private final Relay relay =
+      new Relay(
+          outbox,
+          view,
+          new Settings(
+              new NodeId("n-2"),
+              "b",
+              List.of(new NodeId("n-1")),
+              List.of("a", "b"),
+              Map.of(),
+              List.of(),
+              new Settings.Workers(Span.seconds(2), Span.seconds(10), Span.seconds(45)),
+              new Settings.StateLimits(200, 100, 4, 8),
+              new Settings.CloudLimits(10, Span.seconds(5)),
+              Span.seconds(1)));
+  private final Moment now = new Moment(1_000_000);
+
+  /** The copy reaches revision 9, and the leader in the other zone is silent. */
+  @BeforeEach
+  void cutOffFromTheLeader() {
+    view.listen(
+        new StoreView.Listener() {
+          @Override
+          public void leaderChanged(Moment at) {}
+
+          @Override
+          public void jobChanged(KnownJob known, Moment at) {}
+        });
+    view.tick(now);
+    StoredValue leader = new StoredValue.LeaderRecord(new NodeId("n-1"), "a", "x");
+    outbox.answered(
+        ((Effect.Call) outbox.drain().get(0)).call(),
+        new Answer.Page(
+            List.of(new Entry(Keys.LEADER, leader, new Revision(GRANTED.value()))),
+            false,
+            new Revision(9)));
+    Effect.Call watch = (Effect.Call) outbox.drain().get(0);
+    relay.tick(false, now);
+    outbox.answered(((Effect.Call) outbox.drain().get(0)).call(), new Answer.Nothing("timeout"));
+    StoredValue announced = new StoredValue.RelayRecord("b", GRANTED);
+    outbox.answered(
+        watch.call(),
+        new Answer.Changes(
+            new Revision(10),
+            List.of(new News(Keys.relay("b"), Optional.of(announced), new Revision(10)))));
+  }
+
+  private Optional<Token> answer(long shown) {
+    Report report =
+        new Report(
+            new MachineId("m-1"),
+            "m-1:9000",
+            "t",
+            "b",
+            false,
+            SessionId.FIRST,
+            1,
+            new Token(shown),
+            Optional.empty(),
+            List.of());
+    List<Optional<Token>> answers = new ArrayList<>();
+    relay.answer(report, now, answers::add);
+    assertThat(answers).hasSize(1);
+    return answers.get(0);
+  }
+
+  @Test
+  void aWorkerIsAnsweredUnderTheTokenThatTheLeaderRaisedForIt() {
+    assertThat(answer(7)).contains(new Token(7));
+    assertThat(answer(10)).contains(new Token(10));
+  }
+
+  @Test
+  void anOlderTokenOrOneBeyondThisCopyMayBeAnothersAndIsNotAnswered() {
+    assertThat(answer(6)).isEmpty();
+    assertThat(answer(11)).isEmpty();
+  }
+}
