--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -195,7 +195,8 @@
     }
     boolean typeKnown = kind != null;
     Machine machine =
-        new Machine(id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, token, known);
+        new Machine(
+            id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, token, known);
     if (!typeKnown) {
       machine.duty(Duty.UNFIT);
     }
@@ -265,7 +266,9 @@
     return token;
   }
 
-  /** The token under which a machine is spoken to; one that is not known yet by the leader's own. */
+  /**
+   * The token under which a machine is spoken to; one that is not known yet by the leader's own.
+   */
   public Token tokenOf(MachineId id) {
     Machine machine = machines.get(id);
     return machine == null ? token : machine.fence().current();
--- a/src/test/java/org/oakwalk/core/fleet/FenceTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/FenceTest.java
@@ -46,15 +46,7 @@
   private static final Map<String, MachineType> TYPES =
       Map.of(
           "t",
-          new MachineType(
-              "t",
-              new Room(64, 0, 64),
-              10,
-              1,
-              1,
-              1,
-              Span.seconds(1),
-              List.of("a")));
+          new MachineType("t", new Room(64, 0, 64), 10, 1, 1, 1, Span.seconds(1), List.of("a")));
 
   private final Outbox outbox = new Outbox();
   private final StoreView view = new StoreView(outbox, 200, 3);
@@ -77,8 +69,7 @@
         });
     view.tick(now);
     StoredValue leader = new StoredValue.LeaderRecord(new NodeId("n"), "a", "x");
-    JobRecord record =
-        new JobRecord(Arrays.spec("j-1", 60), JobRecord.Phase.OPEN, new WallTime(1));
+    JobRecord record = new JobRecord(Arrays.spec("j-1", 60), JobRecord.Phase.OPEN, new WallTime(1));
     outbox.answered(
         ((Effect.Call) outbox.drain().get(0)).call(),
         new Answer.Page(
@@ -138,8 +129,7 @@
       Machine.Try started = new Machine.Try(task, attempt);
       machine.openRuns().sentByCommand(started, fleet.tokenOf(MACHINE));
       machine.openRuns().commandSettled(started);
-      pieces.add(
-          new Report.Piece(task, attempt, Report.PieceState.ENDED, Report.Cause.HALTED));
+      pieces.add(new Report.Piece(task, attempt, Report.PieceState.ENDED, Report.Cause.HALTED));
     }
     return pieces;
   }
@@ -183,8 +173,7 @@
   @Test
   void aStartThatIsHeldUpIsVoidOnlyOnceTheRaisedTokenIsShown() {
     TaskId task = new TaskId(job.id(), 50);
-    Placement held =
-        fleet.place(job, 50, fleet.nextAttempt(), machine, Span.seconds(1), now);
+    Placement held = fleet.place(job, 50, fleet.nextAttempt(), machine, Span.seconds(1), now);
     machine.openRuns().sentByCommand(new Machine.Try(task, held.attempt()), GRANTED);
     fleet.halt(held, Span.millis(0), Fleet.Why.NEEDLESS);
     List<Report.Piece> ended = ended(0, 16);
@@ -207,8 +196,7 @@
     outbox.answered(
         watch.call(),
         new Answer.Changes(
-            new Revision(30),
-            List.of(new News(Keys.LEADER, Optional.empty(), new Revision(20)))));
+            new Revision(30), List.of(new News(Keys.LEADER, Optional.empty(), new Revision(20)))));
     assertThat(view.standsUntil(GRANTED)).isEqualTo(GRANTED);
     report(GRANTED, ended(0, 20));
     cleared();
--- a/src/test/java/org/oakwalk/core/leadership/RelayTest.java
+++ b/src/test/java/org/oakwalk/core/leadership/RelayTest.java
@@ -20,7 +20,6 @@
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Outbox;
-import org.oakwalk.core.port.Request;
 import org.oakwalk.core.store.Entry;
 import org.oakwalk.core.store.Keys;
 import org.oakwalk.core.store.KnownJob;
