--- a/src/main/java/org/oakwalk/model/Hunt.java
+++ b/src/main/java/org/oakwalk/model/Hunt.java
@@ -19,6 +19,7 @@
     MUTE_MACHINES,
     RUSH,
     RUSH_AS_REFUSED,
+    RUSH_AT_THE_LIMIT,
     AT_THE_END,
     CLOSE_LOOKS,
     ODD_REQUESTS,
@@ -110,7 +111,7 @@
       add("at %d cancel j-4%d", Draw.LAST_TROUBLE_ENDS + 1, i);
     }
     // The team has more to do than it may at once.
-    add("at 5 submit j-45 array tasks=%d run=%d team=full", 8 + random.nextInt(8), 4);
+    add("at 5 submit j-45 array tasks=%d run=4 team=full", 20 + random.nextInt(16));
     finite.add("j-45");
     add(
         "at %d submit j-46 array tasks=%d run=%d %s",
@@ -145,6 +146,7 @@
       case MUTE_MACHINES -> add("at %d noreports %s for=%d", at, meetings.some(), lasts);
       case RUSH -> rush(at + random.nextDouble(), Math.min(lasts, 1 + random.nextInt(14)));
       case RUSH_AS_REFUSED -> rushAsRefused(at);
+      case RUSH_AT_THE_LIMIT -> rushAtTheLimit(at, lasts);
       case AT_THE_END -> atTheEnd(at, lasts);
       case CLOSE_LOOKS ->
           add(
@@ -205,6 +207,19 @@
     add("at %.1f outage state for=%d", at + 0.5 + random.nextDouble(), out);
   }
 
+  /** Teams wait for room of jobs whose machines hang or are cut off, and the leader changes. */
+  private void rushAtTheLimit(int at, int lasts) {
+    for (int i = 0; i < 3; i++) {
+      String hold = random.nextBoolean() ? "hold" : "";
+      add("at %d cut nodes %s for=%d %s", at, meetings.host(), lasts, hold);
+    }
+    add("at %d cancelnow 4 class=spare hang=%d", at, 1 + random.nextInt(12));
+    int changes = 1 + random.nextInt(3);
+    add(
+        "at %.1f restart leading after=%s times=%d every=%d",
+        at + random.nextDouble() * 3, tenths(), changes, 2 + random.nextInt(5));
+  }
+
   /** Jobs are called off as they end, while what is written of it may be late. */
   private void atTheEnd(int at, int lasts) {
     add(
