Refusals: cancelled at the very moment, with hanging machines; slow answers and withdrawals without an answer

The model delays answers one way, and looks at each task that leaves, so that a breach of a tenth of a second shows; watches time out as in earnest.

--- a/src/main/java/org/oakwalk/model/Disturbances.java
+++ b/src/main/java/org/oakwalk/model/Disturbances.java
@@ -26,7 +26,8 @@
               hosts.group(line.word(3)),
               hosts.group(line.word(4)),
               seconds,
-              line.number("by", 0.5));
+              line.number("by", 0.5),
+              line.has("oneway"));
       case "copies" ->
           world.network.copies(
               hosts.group(line.word(3)),
--- a/src/main/java/org/oakwalk/model/Network.java
+++ b/src/main/java/org/oakwalk/model/Network.java
@@ -18,7 +18,12 @@
 
   private record Cut(Between hosts, boolean hold) {}
 
-  private record Slow(Between hosts, long millis) {}
+  /** One way: only what the first group sends to the second. */
+  private record Slow(Between hosts, long millis, boolean oneWay) {
+    boolean holdsUp(String from) {
+      return !oneWay || hosts.left().test(from);
+    }
+  }
 
   private record Deaf(Predicate<String> hosts, long end) {}
 
@@ -48,8 +53,13 @@
   }
 
   /** What is sent between two groups from now on is under way for so much longer. */
-  void slow(Predicate<String> left, Predicate<String> right, double seconds, double by) {
-    slow.add(new Slow(between(left, right, seconds), Math.round(by * 1000)));
+  void slow(
+      Predicate<String> left,
+      Predicate<String> right,
+      double seconds,
+      double by,
+      boolean oneWay) {
+    slow.add(new Slow(between(left, right, seconds), Math.round(by * 1000), oneWay));
   }
 
   /** What is sent between two groups from now on arrives once more, so much later. */
@@ -95,7 +105,7 @@
       }
     }
     for (Slow one : slow) {
-      late += now(one.hosts(), from, to) ? one.millis() : 0;
+      late += now(one.hosts(), from, to) && one.holdsUp(from) ? one.millis() : 0;
     }
     time.after(late + LATENCY, deliver);
   }
--- a/src/main/java/org/oakwalk/model/Rules.java
+++ b/src/main/java/org/oakwalk/model/Rules.java
@@ -214,6 +214,11 @@
     for (Place place : List.copyOf(here)) {
       if (place.machine() == machine) {
         here.remove(place);
+        Double told = toldCancelled.get(task.job());
+        if (told != null && world.time.seconds() - told > cancelSeconds() + 0.1) {
+          // Too little too late for what looks now and then.
+          breaks("ran_cancelled", task + " leaves " + machine.id + " too late");
+        }
         world.figures.left(task, place.spec());
         teamUse.computeIfPresent(
             place.spec().team(), (team, use) -> use.minus(place.spec().room()));
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -34,6 +34,7 @@
   private static final long TICK = 50;
   private static final long PUMP = 10;
   private static final long STATE_WAIT = 1200;
+  private static final long WATCH_GRACE = 1500;
   private static final long OTHER_WAIT = 3000;
   private static final long BETWEEN_MILLIS = 110;
   private static final long UNHEALTHY_AFTER_MILLIS = 2000;
@@ -330,7 +331,9 @@
           }
         };
     long hold = request instanceof Request.Watch watch ? watch.hold().millis() : 0;
-    world.time.after(STATE_WAIT + hold, () -> once.accept(new Answer.Nothing("timeout")));
+    world.time.after(
+        hold > 0 ? hold + WATCH_GRACE : STATE_WAIT,
+        () -> once.accept(new Answer.Nothing("timeout")));
     there(
         "state",
         back("state", once),
