--- a/src/main/java/org/oakwalk/core/capacity/BoundWork.java
+++ b/src/main/java/org/oakwalk/core/capacity/BoundWork.java
@@ -55,7 +55,8 @@
     int looked = 0;
     for (Job job : jobs.all()) {
       JobSpec spec = job.spec();
-      boolean waits = job.open() && job.pendingCount() > 0 && now.past(job.waitingSince(), PATIENCE);
+      boolean waits =
+          job.open() && job.pendingCount() > 0 && now.past(job.waitingSince(), PATIENCE);
       if (!waits || spec.zone().isEmpty() && !(spec.oneZone() && job.activeCount() > 0)) {
         continue;
       }
--- a/src/main/java/org/oakwalk/core/capacity/Health.java
+++ b/src/main/java/org/oakwalk/core/capacity/Health.java
@@ -181,9 +181,9 @@
    * Whether at the last survey hardly any machine reached this node, though there are some: it is
    * cut off from them.
    *
-   * @param wouldCarry whether others hear this node, so that they would carry the reports of workers
-   *     that reach them. A machine that answers commands, and that nobody carries for, reaches none
-   *     of them: the next leader would be as blind
+   * @param wouldCarry whether others hear this node, so that they would carry the reports of
+   *     workers that reach them. A machine that answers commands, and that nobody carries for,
+   *     reaches none of them: the next leader would be as blind
    */
   public boolean blind(boolean wouldCarry, Moment now) {
     return known >= LEAST_TO_JUDGE
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -29,8 +29,8 @@
   }
 
   /**
-   * Whether the team may use this much more. What is in doubt counts in full, since all of it may be
-   * this team's.
+   * Whether the team may use this much more. What is in doubt counts in full, since all of it may
+   * be this team's.
    */
   public boolean allows(Job job, double count) {
     Settings.Team team = teams.get(job.spec().team());
--- a/src/test/java/org/oakwalk/scenario/LimitsTest.java
+++ b/src/test/java/org/oakwalk/scenario/LimitsTest.java
@@ -51,7 +51,9 @@
         (apart, back) ->
             line(
                     "at %.2f slownet of:%s nodes by=%.2f for=25",
-                    BEGIN, slow.get((int) Math.round(apart * 1000 / STEP_MILLIS) % 3), 0.2 + apart / 2)
+                    BEGIN,
+                    slow.get((int) Math.round(apart * 1000 / STEP_MILLIS) % 3),
+                    0.2 + apart / 2)
                 + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
   }
 
@@ -66,7 +68,8 @@
             double at = machine % 2 == 0 ? BEGIN : BEGIN + apart + back + 2.5;
             lines.append(line("at %.2f cut host-00000%d nodes for=200", at, machine));
           }
-          return lines.append(line("at %.2f restart leading after=%.2f", BEGIN + apart, back))
+          return lines
+              .append(line("at %.2f restart leading after=%.2f", BEGIN + apart, back))
               .toString();
         });
   }
@@ -82,7 +85,10 @@
                 + line("at %.2f restart leading after=%.2f", BEGIN + apart, back));
   }
 
-  /** Leaders end one after the other; some machines can be reached by command alone, some hear nothing. */
+  /**
+   * Leaders end one after the other; some machines can be reached by command alone, some hear
+   * nothing.
+   */
   @TestFactory
   List<DynamicTest> leadersInARow() {
     return sweep(
@@ -169,7 +175,8 @@
     for (String stream : STREAMS) {
       String[] words = stream.split(" ");
       String gpus = words[1].equals("green") ? " gpus=1" : "";
-      text.append(line("every 0.5 8 28 %s array tasks=1 run=1 team=%s%s", words[0], words[1], gpus));
+      text.append(
+          line("every 0.5 8 28 %s array tasks=1 run=1 team=%s%s", words[0], words[1], gpus));
     }
     text.append(troubles);
     text.append(line("at %.2f cancel j-1", BEGIN + apart / 2));
