--- a/src/main/java/org/oakwalk/model/Hunt.java
+++ b/src/main/java/org/oakwalk/model/Hunt.java
@@ -43,6 +43,7 @@
   private final List<String> lines = new ArrayList<>();
   private final List<String> finite = new ArrayList<>();
   private boolean stream;
+  private int full;
   private int ends = Draw.LAST_TROUBLE_ENDS;
 
   Hunt(UniformRandomProvider random, int nodes, int machines, boolean zones, int cancel) {
@@ -56,11 +57,12 @@
   /** Limits of the teams that have none else: all stand at theirs, or one, or none. */
   List<String> teams() {
     boolean all = random.nextInt(3) == 0;
+    full = 5 + random.nextInt(3);
     return List.of(
         all ? "team crew max=" + (22 + random.nextInt(8)) : "team crew",
         "team small max=6",
         all ? "team guests max=" + (2 + random.nextInt(3)) : "team guests",
-        "team full max=" + (5 + random.nextInt(3)));
+        "team full max=" + full);
   }
 
   /** The jobs and the troubles. */
@@ -97,6 +99,9 @@
   /** What has to hold in the end, but for jobs that have to be done. */
   List<String> expected(int end) {
     List<String> expected = new ArrayList<>(List.of("at " + end + " expect over ends"));
+    // Nothing of the limit may be lost to what is long gone.
+    expected.add("at " + (ends + 4) + " submit j-49 service tasks=" + full + " team=full");
+    expected.add("at " + end + " expect j-49 begun within=100");
     if (stream) {
       expected.add("at " + end + " expect over stream");
     }
@@ -160,12 +165,7 @@
       case ODD_REQUESTS -> add("at %d oddrequests for=%d", at, lasts);
       case LOST_ANSWERS ->
           add("at %d latewrites %s for=%d atonce share=%s", at, node, lasts, share());
-      case KEPT_REPORTS -> {
-        add(
-            "at %d latereports %s for=%d fornext share=%s %s",
-            at, meetings.some(), lasts, share(), random.nextBoolean() ? "acted" : "");
-        add("at %.1f restart leading after=%s", at + random.nextDouble() * lasts, tenths());
-      }
+      case KEPT_REPORTS -> keptReports(at, lasts);
       case QUICK_BOOTS -> quickBoots(at, lasts);
       case ZONE_LOSES_MACHINES -> {
         for (int i = 0; i < 2 + random.nextInt(2); i++) {
@@ -230,6 +230,19 @@
     }
   }
 
+  /** Old reports reach the next leader first, while it may hear nothing newer of these machines. */
+  private void keptReports(int at, int lasts) {
+    String some = meetings.some();
+    add(
+        "at %d latereports %s for=%d fornext share=%s %s",
+        at, some, lasts, share(), random.nextBoolean() ? "acted" : "");
+    double ends = at + random.nextDouble() * lasts;
+    if (random.nextBoolean()) {
+      add("at %.1f cut nodes %s for=%d", Math.max(at, ends - 1), some, 3 + random.nextInt(15));
+    }
+    add("at %.1f restart leading after=%s", ends, tenths());
+  }
+
   /** New machines get work while writes lag, and the leader ends. */
   private void quickBoots(int at, int lasts) {
     add("at %d quickboots %.1f", at, 0.2 + 0.3 * random.nextInt(6));
