--- a/src/main/java/org/oakwalk/core/fleet/Registry.java
+++ b/src/main/java/org/oakwalk/core/fleet/Registry.java
@@ -95,9 +95,15 @@
     this.largestValue = Math.min(limits.valueKb() * 1024 * FILL, LARGEST_COMMIT / 2);
   }
 
-  /** These machines were found under this key, as it was written at this revision. */
+  /**
+   * These machines were found under this key, as it was written at this revision. Some may stand
+   * under an earlier one as well, if the answer to a write got lost and its leader fell before it
+   * removed what it had written twice; they leave this one.
+   */
   public void found(String key, Revision stamp, List<StoredValue.MachineRecord> records) {
-    groups.put(key, new Group(key, Optional.of(stamp), records));
+    Group group = new Group(key, Optional.of(stamp), records);
+    groups.values().forEach(other -> group.members.keySet().removeAll(other.members.keySet()));
+    groups.put(key, group);
   }
 
   /** The machine is surely gone. */
