--- a/src/main/java/org/oakwalk/model/ReportLoad.java
+++ b/src/main/java/org/oakwalk/model/ReportLoad.java
@@ -55,7 +55,7 @@
   /** From the first attempt to submit to the first start, of the tasks that were started. */
   private OptionalDouble meanWait() {
     return world.rules.firstStarts().entrySet().stream()
-        .filter(start -> world.specs.get(start.getKey().job()) != null)
+        .filter(start -> world.users.containsKey(start.getKey().job()))
         .mapToDouble(start -> start.getValue() - world.figures.submittedAt(start.getKey().job()))
         .average();
   }
