--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -12,6 +12,7 @@
 import org.oakwalk.core.SessionId;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.port.Request;
@@ -33,6 +34,9 @@
   /** So many machines that don't report are asked at a time: most may be out of reach for long. */
   private static final int MOST_ASKED = 5;
 
+  /** A little after it is suspected, since many a report is merely late. */
+  private static final double SURELY_SILENT = 1.1;
+
   /** Who has just been answered has the token, and reports so within half a second. */
   private static final Span CONFIRMS_BY_ITSELF = Span.millis(1000);
 
@@ -132,7 +136,7 @@
       }
       boolean silent =
           (machine.state() == Machine.State.UP || machine.state() == Machine.State.LAPSED)
-              && now.past(machine.heard(), suspectAfter);
+              && now.past(machine.heard(), suspectAfter.times(SURELY_SILENT));
       if (silent
           && !machine.commanding()
           && !machine.address().isEmpty()
@@ -157,10 +161,11 @@
         runs.add(new Machine.Try(order.task(), order.attempt()));
       }
     }
-    runs.forEach(machine.openRuns()::sentByCommand);
+    Token token = machine.fence().current();
+    runs.forEach(run -> machine.openRuns().sentByCommand(run, token));
     machine.commanding(true);
     outbox.call(
-        new Request.Command(machine.address(), fleet.token(), session, orders),
+        new Request.Command(machine.address(), token, session, orders),
         answer -> {
           machine.commanding(false);
           settled.run();
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -88,6 +88,8 @@
       // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
       machine.placements().forEach(Placement::unwatched);
     }
+    machine.fence().shows(report.token());
+    machine.openRuns().fenced(report.token());
     if (own) {
       // Only these are answered, and so renew a lease: a machine that merely does what it is told
       // loses all its tasks when its lease is over.
@@ -107,7 +109,7 @@
       machine.hearing().deaf(Hearing.State.NOT_THE_TOKEN, now);
       fleet.settled(machine);
     }
-    if (machine.inDoubt() && report.token().equals(fleet.token())) {
+    if (machine.inDoubt() && machine.fence().covers(report.token())) {
       // Until this report an older leader may have renewed its lease.
       machine.renewed(now);
       fleet.settled(machine);
@@ -139,7 +141,7 @@
 
   /** Whether the machine takes what it is told, as far as this report shows. */
   private void listens(Machine machine, Report report, boolean freshSession, Moment now) {
-    if (report.token().equals(fleet.token())) {
+    if (machine.fence().covers(report.token())) {
       machine.hearing().showsToken();
     }
     Span lease = timing.lease();
@@ -177,6 +179,7 @@
     if (!strayed.equals(machine.leftovers().strayRoom())) {
       fleet.doubtChanged();
     }
+    missing.removeIf(placement -> placement.state() == Placement.State.OVER);
     for (Placement placement : missing) {
       boolean seen = placement.state() != Placement.State.ORDERED;
       boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
@@ -266,6 +269,7 @@
       }
       return;
     }
+    supersede(job, piece, now);
     if (!job.isFree(index)) {
       LOG.info("task {} try {} is on {} astray", piece.task(), piece.attempt(), machine.id());
       machine.leftovers().stray(attempt, job.spec().room());
@@ -279,6 +283,28 @@
     }
   }
 
+  /**
+   * Lets go of an earlier attempt that only a report from before this term shows. An older leader
+   * ordered the later one after it was certain that the earlier one was over; the report was held
+   * up, and taken at its word it would have the later attempt stopped as one too many.
+   */
+  private void supersede(Job job, Report.Piece piece, Moment now) {
+    if (job.isDone(piece.task().index())
+        || piece.attempt().token().compareTo(fleet.token()) >= 0) {
+      return;
+    }
+    fleet
+        .placementOf(piece.task())
+        .filter(earlier -> earlier.machine().inDoubt())
+        .filter(earlier -> earlier.attempt().value() < piece.attempt().value())
+        .ifPresent(
+            earlier -> {
+              LOG.info(
+                  "task {} try {} is over, a later one is seen", earlier.task(), earlier.attempt());
+              fleet.lose(earlier, now);
+            });
+  }
+
   private void completeElsewhere(Job job, TaskId task, Moment now) {
     job.complete(task.index(), now);
     fleet
--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserDesk.java
@@ -1,9 +1,11 @@
 package org.oakwalk.core.job;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.Moment;
@@ -119,11 +121,12 @@
           Optional<KnownJob> job = view.job(request.job());
           if (!known) {
             answer.accept(Response.unavailable("state service out of reach", SOON));
-          } else if (job.isPresent()) {
-            answer.accept(status(job.get()));
           } else if (view.unreadable(request.job())) {
-            // It may have been accepted: then nobody may be told that it can't be.
+            // It may have been accepted, so nobody may be told that it can't be; and what was read
+            // of it before may be older than what others have told.
             answer.accept(Response.unavailable("record of the job can't be read", SOON));
+          } else if (job.isPresent()) {
+            answer.accept(status(job.get()));
           } else if (verdict != null) {
             answer.accept(verdict);
           } else {
@@ -142,7 +145,7 @@
     if (team == null) {
       return Response.refusal(422, "unknown team " + spec.team());
     }
-    double most = spec.shape() == JobSpec.Shape.ARRAY ? 1 : spec.tasks();
+    int most = spec.shape() == JobSpec.Shape.ARRAY ? 1 : spec.tasks();
     if (team.cpusMax() > 0 && spec.room().cpus() * most > team.cpusMax() + 1e-6
         || team.gpusMax() > 0 && spec.room().gpus() * most > team.gpusMax() + 1e-6) {
       return Response.refusal(422, "more than the limit of team " + spec.team());
@@ -150,14 +153,29 @@
     if (types.isEmpty()) {
       return Response.unavailable("machine types not known yet", SOON);
     }
-    boolean fits =
-        types.values().stream()
-            .anyMatch(
-                type ->
-                    spec.room().fits(type.room())
-                        && type.zones().stream()
-                            .anyMatch(zone -> spec.allows(type.name(), zone, false)));
-    return fits ? null : Response.refusal(422, "a task fits no allowed machine type");
+    Set<String> zones = zonesFor(spec);
+    if (zones.isEmpty()) {
+      return Response.refusal(422, "a task fits no allowed machine type");
+    }
+    // An array's tasks may go one after the other; those of others have to be there at once.
+    int zonesAtOnce = spec.oneZone() ? 1 : zones.size();
+    if (most > 1 && zonesAtOnce * spec.zoneLimit() < spec.tasks()) {
+      return Response.refusal(422, "tasks are to be spread, and may be in one zone only");
+    }
+    return null;
+  }
+
+  /** Zones in which a task fits a machine type that the job allows. */
+  private Set<String> zonesFor(JobSpec spec) {
+    Set<String> zones = new HashSet<>();
+    for (MachineType type : types.values()) {
+      if (spec.room().fits(type.room())) {
+        type.zones().stream()
+            .filter(zone -> spec.allows(type.name(), zone, false))
+            .forEach(zones::add);
+      }
+    }
+    return zones;
   }
 
   private void create(JobSpec spec, Consumer<Response> answer) {
@@ -210,8 +228,10 @@
             List.of(new Change.Put(key, record, Optional.empty())),
             Request.Urgency.WITHDRAWAL),
         reply -> {
-          if (reply instanceof Answer.Committed) {
+          if (reply instanceof Answer.Committed committed) {
             LOG.info("job {} withdrawn", job.id());
+            // If this node leads it may order no start once the user has been told.
+            view.written(record, committed.epoch());
             answer.accept(
                 new Response.JobStatus(false, job.id(), Response.JobState.CANCELLED, 0, 0));
           } else if (reply instanceof Answer.Conflict) {
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -139,6 +139,9 @@
       case "reruns" -> {
         return world.reruns <= line.number("most", 0);
       }
+      case "listed" -> {
+        return world.reportLoad.mostEnded() <= line.number("most", 0);
+      }
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
@@ -190,9 +193,11 @@
     SimUser user = world.users.get(job);
     return switch (line.word(4)) {
       case "done" -> world.rules.told(job) == Response.JobState.DONE;
+      case "served" -> world.rules.told(job) == Response.JobState.DONE || user.gaveUpInVain();
       case "unaccepted" -> !world.rules.accepted(job);
       case "open" -> world.rules.accepted(job) && world.rules.told(job) == null;
       case "cancelled" -> world.rules.told(job) == Response.JobState.CANCELLED;
+      case "over" -> world.rules.over(job);
       case "on" ->
           world.rules.on(job) >= line.number("least", 0)
               && world.rules.on(job) <= line.number("most", 1e9);
