--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -184,9 +184,7 @@
     Report report = reports.report();
     if (term.isPresent()) {
       Optional<NodeId> host =
-          reports.crowded()
-                  && leadership.mayAnswer(now)
-                  && !term.get().above(report)
+          reports.crowded() && leadership.mayAnswer(now) && !term.get().above(report)
               ? lodging.host(report.machine(), now)
               : Optional.empty();
       outbox.respond(
--- a/src/main/java/org/oakwalk/core/exchange/Take.java
+++ b/src/main/java/org/oakwalk/core/exchange/Take.java
@@ -108,7 +108,9 @@
         since);
   }
 
-  /** Need is at the level of the lower one, if the room is used in place of another that was taken. */
+  /**
+   * Need is at the level of the lower one, if the room is used in place of another that was taken.
+   */
   public Take standingFor(Optional<Take> other) {
     int least = other.map(Take::level).filter(each -> each < level).orElse(level);
     return new Take(
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -203,7 +203,8 @@
     }
     boolean typeKnown = kind != null;
     Machine machine =
-        new Machine(id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, token, known);
+        new Machine(
+            id, address, typeKnown ? kind : withoutBounds(type), zone, spot, state, token, known);
     if (!typeKnown) {
       machine.duty(Duty.UNFIT);
     }
@@ -273,7 +274,9 @@
     return token;
   }
 
-  /** The token under which a machine is spoken to; one that is not known yet by the leader's own. */
+  /**
+   * The token under which a machine is spoken to; one that is not known yet by the leader's own.
+   */
   public Token tokenOf(MachineId id) {
     Machine machine = machines.get(id);
     return machine == null ? token : machine.fence().current();
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -289,8 +289,7 @@
    * up, and taken at its word it would have the later attempt stopped as one too many.
    */
   private void supersede(Job job, Report.Piece piece, Moment now) {
-    if (job.isDone(piece.task().index())
-        || piece.attempt().token().compareTo(fleet.token()) >= 0) {
+    if (job.isDone(piece.task().index()) || piece.attempt().token().compareTo(fleet.token()) >= 0) {
       return;
     }
     fleet
--- a/src/main/java/org/oakwalk/model/CanRun.java
+++ b/src/main/java/org/oakwalk/model/CanRun.java
@@ -9,8 +9,8 @@
 /**
  * Whether a job may be accepted, after the protocol's page alone: all fields are there, the team is
  * known, a task fits a machine type that the job allows, and the team's limit allows one task of an
- * array, and all tasks of what has to run at once; these also have room in the zones by the share of
- * them that one zone may hold.
+ * array, and all tasks of what has to run at once; these also have room in the zones by the share
+ * of them that one zone may hold.
  */
 final class CanRun {
   private static final double SLACK = 1e-6;
--- a/src/main/java/org/oakwalk/model/ReportLoad.java
+++ b/src/main/java/org/oakwalk/model/ReportLoad.java
@@ -56,8 +56,7 @@
   private OptionalDouble meanWait() {
     return world.rules.firstStarts().entrySet().stream()
         .filter(start -> world.specs.get(start.getKey().job()) != null)
-        .mapToDouble(
-            start -> start.getValue() - world.figures.submittedAt(start.getKey().job()))
+        .mapToDouble(start -> start.getValue() - world.figures.submittedAt(start.getKey().job()))
         .average();
   }
 }
--- a/src/test/java/org/oakwalk/core/fleet/DutyTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/DutyTest.java
@@ -38,7 +38,14 @@
         new MachineType("m", new Room(4, 0, 16), 40, 1, 1, 0.3, Span.seconds(20), List.of("a"));
     Machine machine =
         new Machine(
-            new MachineId("m-1"), "", type, "a", false, Machine.State.UP, new Token(1), new Moment(1_000_000));
+            new MachineId("m-1"),
+            "",
+            type,
+            "a",
+            false,
+            Machine.State.UP,
+            new Token(1),
+            new Moment(1_000_000));
     if (duty == Duty.CORDONED) {
       machine.duty(Duty.NEXT);
     }
--- a/src/test/java/org/oakwalk/core/job/UserDeskTest.java
+++ b/src/test/java/org/oakwalk/core/job/UserDeskTest.java
@@ -43,8 +43,7 @@
       Map.of(
           "crew", new Settings.Team("crew", 0, 0, 0, 0),
           "small", new Settings.Team("small", 4, 8, 0, 2));
-  private final UserDesk desk =
-      new UserDesk(outbox, view, teams, new Admission(teams, view, 1000));
+  private final UserDesk desk = new UserDesk(outbox, view, teams, new Admission(teams, view, 1000));
   private final List<JobRecord.Phase> seen = new ArrayList<>();
   private LateStore.Fate fate = LateStore.Fate.SERVED;
   private Moment now = new Moment(1000);
--- a/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
+++ b/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
@@ -12,10 +12,10 @@
 import org.oakwalk.model.Scenario;
 
 /**
- * Jobs are cancelled round the moment at which their last task ends, a hundredth of a second further
- * with each job, from well before the end to long after it was stored, while users ask at all nodes
- * within milliseconds and submit again; one in three is only asked about and submitted again. Whoever
- * asks is told the same, done or withdrawn, and every job comes to one of the two.
+ * Jobs are cancelled round the moment at which their last task ends, a hundredth of a second
+ * further with each job, from well before the end to long after it was stored, while users ask at
+ * all nodes within milliseconds and submit again; one in three is only asked about and submitted
+ * again. Whoever asks is told the same, done or withdrawn, and every job comes to one of the two.
  */
 class EndMeetsCancelTest {
   private static final int JOBS = 110;
@@ -44,7 +44,8 @@
                   "withdrawal carried out late",
                   List.of("at 5 latewrites followers for=60 share=0.7 after=4 key=oak/a/job/")),
               Map.entry(
-                  "both carried out late", List.of("at 5 latewrites all for=60 share=0.5 key=oak/a/job/")),
+                  "both carried out late",
+                  List.of("at 5 latewrites all for=60 share=0.5 key=oak/a/job/")),
               Map.entry(
                   "leader ends, again and again",
                   List.of("every 2.7 9 56 restart leading after=0.2")),
@@ -78,8 +79,7 @@
               Map.entry(
                   "store out again and again", List.of("every 1.1 6 56 outage state for=0.35")),
               Map.entry(
-                  "requests come once more",
-                  List.of("at 5 copies users nodes for=55 after=0.9"))));
+                  "requests come once more", List.of("at 5 copies users nodes for=55 after=0.9"))));
 
   @TestFactory
   List<DynamicTest> endMeetsCancel() {
--- a/src/test/java/org/oakwalk/scenario/GivenUpTest.java
+++ b/src/test/java/org/oakwalk/scenario/GivenUpTest.java
@@ -25,8 +25,7 @@
 
   @Test
   void whoTriedThroughAnOutageMayGiveUp() {
-    Outcome outcome =
-        play("at 19 outage state for=63\nat 20 submit j-2 array tasks=2 run=5\n");
+    Outcome outcome = play("at 19 outage state for=63\nat 20 submit j-2 array tasks=2 run=5\n");
     assertThat(outcome.held()).as(outcome.complaint()).isTrue();
   }
 
@@ -57,8 +56,7 @@
 
   @Test
   void whoStillTriesHasNoExcuseYet() {
-    Outcome outcome =
-        play("at 60 outage state for=55\nat 70 submit j-2 array tasks=2 run=60\n");
+    Outcome outcome = play("at 60 outage state for=55\nat 70 submit j-2 array tasks=2 run=60\n");
     assertThat(outcome.complaint()).contains("expected at 118 expect j-2 served");
   }
 }
