--- a/src/main/java/org/oakwalk/model/Network.java
+++ b/src/main/java/org/oakwalk/model/Network.java
@@ -54,11 +54,7 @@
 
   /** What is sent between two groups from now on is under way for so much longer. */
   void slow(
-      Predicate<String> left,
-      Predicate<String> right,
-      double seconds,
-      double by,
-      boolean oneWay) {
+      Predicate<String> left, Predicate<String> right, double seconds, double by, boolean oneWay) {
     slow.add(new Slow(between(left, right, seconds), Math.round(by * 1000), oneWay));
   }
 
--- a/src/main/java/org/oakwalk/model/Waits.java
+++ b/src/main/java/org/oakwalk/model/Waits.java
@@ -110,8 +110,7 @@
   public String toString() {
     StringBuilder text = new StringBuilder();
     for (Step step : Step.values()) {
-      text.append(
-          String.format(Locale.ROOT, " %s %.1f (%d)", step, longest(step), waiting(step)));
+      text.append(String.format(Locale.ROOT, " %s %.1f (%d)", step, longest(step), waiting(step)));
     }
     return text.toString().trim();
   }
--- a/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
+++ b/src/test/java/org/oakwalk/core/job/ResultWriterTest.java
@@ -188,7 +188,9 @@
     assertThat(commits[0]).as("it is not tried again and again").isLessThan(6);
   }
 
-  /** Many jobs end while the service refuses: one asks whether it does so still, and all go after. */
+  /**
+   * Many jobs end while the service refuses: one asks whether it does so still, and all go after.
+   */
   @Test
   void endsThatAreRefusedAreNotAllTriedAgainAndAgain() {
     for (int job = 1; job <= 50; job++) {
--- a/src/test/java/org/oakwalk/scenario/RefusalTest.java
+++ b/src/test/java/org/oakwalk/scenario/RefusalTest.java
@@ -30,8 +30,7 @@
   }
 
   private static final List<Timing> TIMINGS =
-      List.of(
-          new Timing(2.5, 15.25, 45.25), new Timing(4, 22, 47), new Timing(2.5, 15.25, 20));
+      List.of(new Timing(2.5, 15.25, 45.25), new Timing(4, 22, 47), new Timing(2.5, 15.25, 20));
 
   /** What becomes of withdrawals; T is the moment of the refusal. */
   private static final List<String> WRITES =
@@ -103,8 +102,7 @@
       // It goes on just before its lease may run out, or long before.
       double lasts = host % 2 == 0 ? timing.lease() - 0.2 : timing.lease() * part;
       lasts = Math.min(lasts, AT + timing.cancel() - 1 - begins);
-      text.append(
-          at(begins, String.format(Locale.ROOT, "hang host-%06d for=%.3f", host, lasts)));
+      text.append(at(begins, String.format(Locale.ROOT, "hang host-%06d for=%.3f", host, lasts)));
     }
   }
 
--- a/src/test/java/org/oakwalk/scenario/StreamTest.java
+++ b/src/test/java/org/oakwalk/scenario/StreamTest.java
@@ -31,8 +31,8 @@
   }
 
   /**
-   * Long after the last one each controller keeps one entry a job, by which it answers for ever; the
-   * leader besides, of each machine, the last starts by command that might come once more.
+   * Long after the last one each controller keeps one entry a job, by which it answers for ever;
+   * the leader besides, of each machine, the last starts by command that might come once more.
    */
   @Test
   void nothingIsKeptOfJobsThatAreOver() throws Exception {
