--- a/src/test/java/org/oakwalk/scenario/CancelledAsWorkChangesHandsTest.java
+++ b/src/test/java/org/oakwalk/scenario/CancelledAsWorkChangesHandsTest.java
@@ -1,14 +1,12 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.line;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * Jobs are cancelled in the seconds in which one controller's work changes hands. Their times step
@@ -130,18 +128,4 @@
     text.append(line("at 90 expect laststart most=%.2f", startsWithin));
     return text.append("at 90 expect answered within=9 open\nend 91\n").toString();
   }
-
-  private static String line(String form, Object... values) {
-    return String.format(Locale.ROOT, form, values) + "\n";
-  }
-
-  private static void play(String text) {
-    Outcome outcome;
-    try {
-      outcome = new Scenario(text).play();
-    } catch (AssertionError | RuntimeException e) {
-      throw new AssertionError(e.getMessage() + "\n" + text, e);
-    }
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
 }
--- a/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
+++ b/src/test/java/org/oakwalk/scenario/EndMeetsCancelTest.java
@@ -1,6 +1,6 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.List;
 import java.util.Locale;
@@ -8,8 +8,6 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * Jobs are cancelled round the moment at which their last task ends, a hundredth of a second
@@ -88,11 +86,6 @@
         .toList();
   }
 
-  private static void play(String text) {
-    Outcome outcome = new Scenario(text).play();
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
-
   private static String text(List<String> troubles) {
     StringBuilder text =
         new StringBuilder(
--- a/src/test/java/org/oakwalk/scenario/LateWritesTest.java
+++ b/src/test/java/org/oakwalk/scenario/LateWritesTest.java
@@ -1,14 +1,12 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * A small busy day on which the transactions of one writer get no answer and are carried out late,
@@ -47,11 +45,6 @@
     return tests;
   }
 
-  private static void play(String text) {
-    Outcome outcome = new Scenario(text).play();
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
-
   private static String day(String key, String when) {
     return String.format(
         Locale.ROOT,
--- a/src/test/java/org/oakwalk/scenario/OldReportsAtANewLeaderTest.java
+++ b/src/test/java/org/oakwalk/scenario/OldReportsAtANewLeaderTest.java
@@ -1,14 +1,12 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.line;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * The first that a new leader hears of machines is old: copies of their reports were kept for it
@@ -126,18 +124,4 @@
         + "at 89 expect j-3 done\nat 89 expect j-4 done\nat 89 expect j-100 done\n"
         + "at 89 expect j-123 done\nat 89 expect answered within=9 open\nend 90\n";
   }
-
-  private static String line(String form, Object... values) {
-    return String.format(Locale.ROOT, form, values) + "\n";
-  }
-
-  private static void play(String text) {
-    Outcome outcome;
-    try {
-      outcome = new Scenario(text).play();
-    } catch (AssertionError | RuntimeException e) {
-      throw new AssertionError(e.getMessage() + "\n" + text, e);
-    }
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
 }
--- a/src/test/java/org/oakwalk/scenario/QuickBootsTest.java
+++ b/src/test/java/org/oakwalk/scenario/QuickBootsTest.java
@@ -1,14 +1,12 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.line;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * Rented machines are up before their rental is answered, before the list shows them, and before
@@ -92,18 +90,4 @@
         // What was rented and is not needed is returned, whoever rented it.
         + "at 175 expect machines most=6\nat 175 expect answered within=9 open\nend 176\n";
   }
-
-  private static String line(String form, Object... values) {
-    return String.format(Locale.ROOT, form, values) + "\n";
-  }
-
-  private static void play(String text) {
-    Outcome outcome;
-    try {
-      outcome = new Scenario(text).play();
-    } catch (AssertionError | RuntimeException e) {
-      throw new AssertionError(e.getMessage() + "\n" + text, e);
-    }
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
 }
--- a/src/test/java/org/oakwalk/scenario/RoomTest.java
+++ b/src/test/java/org/oakwalk/scenario/RoomTest.java
@@ -1,14 +1,12 @@
 package org.oakwalk.scenario;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.oakwalk.scenario.Sweeps.line;
+import static org.oakwalk.scenario.Sweeps.play;
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
-import org.oakwalk.model.Outcome;
-import org.oakwalk.model.Scenario;
 
 /**
  * More work than room, urgent and not, of every shape, some of it bound to a zone, while links are
@@ -91,18 +89,4 @@
     }
     return text.append("end 400\n").toString();
   }
-
-  private static String line(String form, Object... values) {
-    return String.format(Locale.ROOT, form, values) + "\n";
-  }
-
-  private static void play(String text) {
-    Outcome outcome;
-    try {
-      outcome = new Scenario(text).play();
-    } catch (AssertionError | RuntimeException e) {
-      throw new AssertionError(e.getMessage() + "\n" + text, e);
-    }
-    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
-  }
 }
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/Sweeps.java
@@ -0,0 +1,28 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Locale;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+
+/** What tests share that write scenarios, step by step of some time. */
+final class Sweeps {
+  private Sweeps() {}
+
+  /** One line of a scenario. */
+  static String line(String form, Object... values) {
+    return String.format(Locale.ROOT, form, values) + "\n";
+  }
+
+  /** Plays a scenario that has to hold; its text stands in the failure. */
+  static void play(String text) {
+    Outcome outcome;
+    try {
+      outcome = new Scenario(text).play();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError(e.getMessage() + "\n" + text, e);
+    }
+    assertThat(outcome.held()).as(outcome.complaint() + "\n" + text).isTrue();
+  }
+}
