--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -69,13 +69,22 @@
     if (own && machine.sessions().givenUp(report.session(), report.sequence())) {
       return Optional.empty();
     }
-    if (machine.state() == Machine.State.GONE
-        || machine.sessions().stale(report.session(), report.sequence())) {
+    if (machine.state() == Machine.State.GONE) {
+      return Optional.of(machine);
+    }
+    if (machine.sessions().stale(report.session(), report.sequence())) {
+      if (own) {
+        // The answer to a command has overtaken it. It tells nothing new, but that the machine
+        // reports, and its worker takes the answer.
+        machine.heard(now);
+      }
       return Optional.of(machine);
     }
     boolean otherSession = machine.session().filter(report.session()::equals).isEmpty();
     boolean freshSession = machine.advance(report.session(), report.sequence(), own);
-    listens(machine, report, freshSession, now);
+    if (own || !freshSession) {
+      listens(machine, report, freshSession, now);
+    }
     if (otherSession) {
       // A session begins with a lease of its own, whoever told of it. Counted from the last answer
       // in the session before, it would seem to be over while tasks that came by command run.
@@ -86,8 +95,12 @@
       // Out of reach, or hanging: what ended meanwhile would seem to have run until now.
       machine.placements().forEach(Placement::unwatched);
     }
-    machine.heard(now);
+    machine.fence().shows(report.token());
+    machine.openRuns().fenced(report.token());
     if (own) {
+      // Only these are answered, and so renew a lease: a machine that merely does what it is told
+      // loses all its tasks when its lease is over.
+      machine.heard(now);
       machine.openRuns().responseSettled();
     }
     if (freshSession) {
@@ -103,7 +116,7 @@
       machine.hearing().deaf(Hearing.State.NOT_THE_TOKEN, now);
       fleet.settled(machine);
     }
-    if (machine.inDoubt() && report.token().equals(fleet.token())) {
+    if (machine.inDoubt() && machine.fence().covers(report.token())) {
       // Until this report an older leader may have renewed its lease.
       machine.renewed(now);
       fleet.settled(machine);
@@ -115,9 +128,16 @@
         }
         machine.enter(Machine.State.ENROLLING);
       }
-      case LAPSED -> fleet.up(machine);
+      case LAPSED -> {
+        if (own) {
+          // One that only answers commands is of no use: no session of it outlives its lease.
+          fleet.up(machine);
+        }
+      }
       case UNCONFIRMED -> {
         if (!machine.inDoubt()) {
+          // By command, most often: its first own report is on its way, unless it can't send any.
+          machine.heard(now);
           fleet.up(machine);
         }
       }
@@ -128,7 +148,7 @@
 
   /** Whether the machine takes what it is told, as far as this report shows. */
   private void listens(Machine machine, Report report, boolean freshSession, Moment now) {
-    if (report.token().equals(fleet.token())) {
+    if (machine.fence().covers(report.token())) {
       machine.hearing().showsToken();
     }
     Span lease = timing.lease();
@@ -151,6 +171,7 @@
   }
 
   private void reconcile(Machine machine, Report report, Moment now) {
+    Room strayed = machine.leftovers().strayRoom();
     machine.leftovers().clear();
     List<Placement> missing = machine.placementsCopy();
     for (Report.Piece piece : report.pieces()) {
@@ -162,6 +183,11 @@
         foreign(machine, piece, now);
       }
     }
+    if (!strayed.equals(machine.leftovers().strayRoom())) {
+      fleet.doubtChanged();
+    }
+    // A later attempt at its task is listed.
+    missing.removeIf(placement -> placement.state() == Placement.State.OVER);
     for (Placement placement : missing) {
       boolean seen = placement.state() != Placement.State.ORDERED;
       boolean open = machine.runOpen(new Machine.Try(placement.task(), placement.attempt()));
@@ -237,7 +263,8 @@
       if (piece.ended()) {
         machine.leftovers().uncleared(attempt, piece.cause() == Report.Cause.DONE);
       } else {
-        machine.leftovers().stray(attempt, Room.NONE);
+        // How much it takes, and of whose limit, nobody knows.
+        machine.leftovers().stray(attempt, machine.type().room());
       }
       return;
     }
@@ -250,6 +277,7 @@
       }
       return;
     }
+    supersede(job, piece, now);
     if (!job.isFree(index)) {
       LOG.info("task {} try {} is on {} astray", piece.task(), piece.attempt(), machine.id());
       machine.leftovers().stray(attempt, job.spec().room());
@@ -263,6 +291,32 @@
     }
   }
 
+  /**
+   * Lets go of an earlier attempt that only a report from before this term shows. An older leader
+   * ordered the later one after it was certain that the earlier one was over; the report was held
+   * up, and taken at its word it would have the later attempt stopped as one too many.
+   */
+  private void supersede(Job job, Report.Piece piece, Moment now) {
+    if (job.isDone(piece.task().index()) || piece.attempt().token().compareTo(fleet.token()) >= 0) {
+      return;
+    }
+    fleet
+        .placementOf(piece.task())
+        .filter(earlier -> !confirmed(earlier.machine()))
+        .filter(earlier -> earlier.attempt().value() < piece.attempt().value())
+        .ifPresent(
+            earlier -> {
+              LOG.info(
+                  "task {} try {} is over, a later one is seen", earlier.task(), earlier.attempt());
+              fleet.lose(earlier, now);
+            });
+  }
+
+  /** Whether it has shown what is there now; one that is not registered has not either. */
+  private static boolean confirmed(Machine machine) {
+    return machine.state() == Machine.State.UP && !machine.inDoubt();
+  }
+
   private void completeElsewhere(Job job, TaskId task, Moment now) {
     job.complete(task.index(), now);
     fleet
--- a/src/main/java/org/oakwalk/model/Expectations.java
+++ b/src/main/java/org/oakwalk/model/Expectations.java
@@ -47,6 +47,8 @@
         + world.rules.totalStarts()
         + ", unheard "
         + world.unheard
+        + ", last start after a confirmed cancellation "
+        + world.rules.latestStart()
         + ", refusals "
         + world.refusals
         + ", machines "
@@ -63,6 +65,12 @@
         + world.state.requests()
         + ", reads "
         + world.state.reads()
+        + ", too many "
+        + world.state.tooMany()
+        + ", waits "
+        + world.waits
+        + ", open "
+        + world.users.values().stream().filter(SimUser::asks).count()
         + ", reporting to the leader "
         + reporting();
   }
@@ -123,15 +131,39 @@
       case "unheard" -> {
         return world.unheard <= line.number("most", 0);
       }
+      case "over" -> {
+        return world.rules.acceptedInOrder().stream()
+            .filter(job -> world.specs.get(job).jobClass().equals(line.word(4)))
+            .allMatch(world.rules::over);
+      }
+      case "laststart" -> {
+        return world.rules.latestStart() <= line.number("most", 0);
+      }
       case "refusals" -> {
         return world.refusals <= line.number("most", 0);
       }
       case "reruns" -> {
         return world.reruns <= line.number("most", 0);
       }
+      case "listed" -> {
+        return world.reportLoad.mostEnded() <= line.number("most", 0);
+      }
       case "requests" -> {
         return world.state.requests() <= line.number("most", 1e9);
       }
+      case "waits" -> {
+        return world.waits.longest(Waits.step(line.word(4))) <= line.number("most", 0);
+      }
+      case "waiting" -> {
+        return world.waits.waiting(Waits.step(line.word(4))) <= line.number("most", 0);
+      }
+      case "open" -> {
+        return world.users.values().stream().filter(SimUser::asks).count()
+            <= line.number("most", 0);
+      }
+      case "toomany" -> {
+        return world.state.tooMany() <= line.number("most", 0);
+      }
       case "reads" -> {
         return world.state.reads() <= line.number("most", 1e9);
       }
@@ -180,9 +212,11 @@
     SimUser user = world.users.get(job);
     return switch (line.word(4)) {
       case "done" -> world.rules.told(job) == Response.JobState.DONE;
+      case "served" -> world.rules.told(job) == Response.JobState.DONE || user.gaveUpInVain();
       case "unaccepted" -> !world.rules.accepted(job);
       case "open" -> world.rules.accepted(job) && world.rules.told(job) == null;
       case "cancelled" -> world.rules.told(job) == Response.JobState.CANCELLED;
+      case "over" -> world.rules.over(job);
       case "on" ->
           world.rules.on(job) >= line.number("least", 0)
               && world.rules.on(job) <= line.number("most", 1e9);
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -144,8 +144,19 @@
     }
     int number = (int) line.number(4);
     for (double at = line.number(2); at < line.number(3); at += line.number(1)) {
-      String job = "j-" + number++;
-      world.time.at(at, () -> submit(line, new JobId(job), line.word(5)));
+      JobId job = new JobId("j-" + number++);
+      world.time.at(at, () -> submit(line, job, line.word(5)));
+      cancelledOfMany(line, job, number - 1, at);
+    }
+  }
+
+  /** Each Nth of a row of jobs is cancelled, so many seconds after it was submitted, in turn. */
+  private void cancelledOfMany(Words line, JobId job, int number, double at) {
+    int nth = (int) line.number("cancels", 0);
+    if (nth > 0 && number % nth == 0) {
+      String[] times = line.text("by", "3").split(",");
+      double by = Double.parseDouble(times[number / nth % times.length]);
+      world.time.at(at + by, () -> world.users.get(job).cancel());
     }
   }
 
@@ -227,7 +238,7 @@
   private void act(Words line) {
     switch (line.word(2)) {
       case "submit" -> submit(line, new JobId(line.word(3)), line.word(4));
-      case "cancel" -> world.users.get(new JobId(line.word(3))).cancel();
+      case "cancel" -> cancel(line);
       case "crash" -> hosts.nodes(line.word(3)).forEach(SimNode::crash);
       case "restart" -> restart(line);
       case "refuse" ->
@@ -283,6 +294,17 @@
     }
   }
 
+  private void cancel(Words line) {
+    SimUser user = world.users.get(new JobId(line.word(3)));
+    String first = line.text("on", "");
+    List<SimNode> asked = first.isEmpty() ? List.of() : hosts.nodes(first);
+    if (asked.isEmpty()) {
+      user.cancel();
+    } else {
+      user.cancelAt(asked.get(0));
+    }
+  }
+
   /** They end and are back some time later, perhaps again and again; the same each time. */
   private void restart(Words line) {
     List<SimNode> who = List.copyOf(hosts.nodes(line.word(3)));
@@ -368,6 +390,10 @@
   private void rogue(Words line) {
     TaskId task = TaskId.parse(line.word(3)).orElseThrow();
     SimWorker worker = hosts.worker(line.word(4));
+    if (!line.text("by", "").isEmpty()) {
+      hosts.nodes(line.text("by", "")).forEach(node -> node.orderStart(task, worker));
+      return;
+    }
     Token token = new Token(Long.MAX_VALUE >> 30);
     worker.command(
         new Request.Command(
@@ -418,6 +444,6 @@
                 Response.JobState.valueOf(line.word(4).toUpperCase(java.util.Locale.ROOT)),
                 0,
                 0);
-    world.rules.told(job, false, world.time.seconds(), answer);
+    world.rules.told(job, false, world.rules.moment(), answer, Optional.empty());
   }
 }
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -8,12 +8,18 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.oakwalk.core.Attempt;
+import org.oakwalk.core.CallId;
 import org.oakwalk.core.Controller;
 import org.oakwalk.core.ExchangeId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Order;
 import org.oakwalk.core.Report;
+import org.oakwalk.core.SessionId;
+import org.oakwalk.core.TaskId;
+import org.oakwalk.core.Token;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
@@ -21,11 +27,14 @@
 import org.oakwalk.core.port.Request;
 import org.oakwalk.core.port.Response;
 import org.oakwalk.core.port.UserRequest;
+import org.oakwalk.core.store.RequestQueue;
 
 /** A controller node in virtual time: the real core between stand-ins. */
 final class SimNode {
   private static final long TICK = 50;
+  private static final long PUMP = 10;
   private static final long STATE_WAIT = 1200;
+  private static final long WATCH_GRACE = 1500;
   private static final long OTHER_WAIT = 3000;
   private static final long BETWEEN_MILLIS = 110;
   private static final long UNHEALTHY_AFTER_MILLIS = 2000;
@@ -34,6 +43,11 @@
   final NodeId id;
   final String zone;
   private Controller controller;
+  private KnownCancelled cancelled = new KnownCancelled();
+
+  /** Where requests to the state service wait for its rates, if it keeps to any. */
+  private RequestQueue line;
+
   private int life;
   private int ends;
   private boolean up;
@@ -76,11 +90,16 @@
     up = true;
     open.clear();
     forgetStillness();
+    cancelled = new KnownCancelled();
     controller =
         new Controller(
             world.settingsOf(this),
             world.plans.policy(id, world.time.seconds()),
             id + "-life-" + life);
+    if (world.limited) {
+      line = new RequestQueue(world.settingsOf(this), world.time.now(), this::sendState);
+      pump(life);
+    }
     tick(life);
   }
 
@@ -213,16 +232,28 @@
   }
 
   private void handle(Event event) {
-    for (Effect effect : controller.handle(event, new Moment(world.time.now()), world.wall())) {
-      if (effect instanceof Effect.Respond respond) {
-        Consumer<Response> then = open.remove(respond.exchange());
-        if (then != null) {
-          outside(() -> then.accept(respond.response()));
-        }
-      } else if (effect instanceof Effect.Call call) {
-        int of = life;
-        outside(() -> call(call, of));
+    boolean led = controller.leads();
+    List<Effect> effects = controller.handle(event, new Moment(world.time.now()), world.wall());
+    if (!led && controller.leads()) {
+      world.keptReports.rises();
+    }
+    effects.forEach(this::carryOut);
+  }
+
+  private void carryOut(Effect effect) {
+    // What a follower hands back from the leader is not its own decision.
+    cancelled
+        .decides(effect)
+        .filter(order -> leads())
+        .ifPresent(order -> world.rules.startsCancelled(this, order.task()));
+    if (effect instanceof Effect.Respond respond) {
+      Consumer<Response> then = open.remove(respond.exchange());
+      if (then != null) {
+        outside(() -> then.accept(respond.response()));
       }
+    } else if (effect instanceof Effect.Call call) {
+      int of = life;
+      outside(() -> call(call, of));
     }
   }
 
@@ -232,23 +263,21 @@
         answer -> {
           if (!answered[0] && up && of == life) {
             answered[0] = true;
-            inside(() -> handle(new Event.Answered(call.call(), answer)));
+            world.givenUp.answered(call.request(), answer);
+            inside(
+                () -> {
+                  cancelled.answered(call.request(), answer);
+                  handle(new Event.Answered(call.call(), answer));
+                });
           }
         };
     Request request = call.request();
     if (request instanceof Request.State state) {
-      long hold = state instanceof Request.Watch watch ? watch.hold().millis() : 0;
-      world.time.after(STATE_WAIT + hold, () -> then.accept(new Answer.Nothing("timeout")));
-      there(
-          "state",
-          back("state", then),
-          reply -> {
-            if (refusedByState()) {
-              reply.accept(new Answer.Refused(503, "refused"));
-            } else {
-              serveState(state, reply);
-            }
-          });
+      if (world.limited) {
+        line.call(state, world.time.now(), then);
+      } else {
+        sendState(state, then);
+      }
     } else if (request instanceof Request.Cloud cloud) {
       world.time.after(OTHER_WAIT, () -> then.accept(new Answer.Nothing("timeout")));
       there("cloud", back("cloud", then), reply -> world.cloud.serve(cloud, reply));
@@ -279,6 +308,55 @@
     }
   }
 
+  /** A start leaves it that its core did not decide. */
+  void orderStart(TaskId task, SimWorker worker) {
+    List<Order> orders = List.of(new Order.Run(task, new Attempt(Long.MAX_VALUE >> 1)));
+    carryOut(
+        new Effect.Call(
+            new CallId(Long.MAX_VALUE),
+            new Request.Command(
+                worker.address(),
+                new Token(worker.token()),
+                new SessionId(worker.session()),
+                orders)));
+  }
+
+  private void sendState(Request.State request, Consumer<Answer> then) {
+    boolean[] over = new boolean[1];
+    Consumer<Answer> once =
+        answer -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.accept(answer);
+          }
+        };
+    long hold = request instanceof Request.Watch watch ? watch.hold().millis() : 0;
+    world.time.after(
+        hold > 0 ? hold + WATCH_GRACE : STATE_WAIT,
+        () -> once.accept(new Answer.Nothing("timeout")));
+    there(
+        "state",
+        back("state", once),
+        reply -> {
+          if (refusedByState()) {
+            reply.accept(new Answer.Refused(503, "refused"));
+          } else {
+            serveState(request, reply);
+          }
+        });
+  }
+
+  /** Sends what the rates allow by now, as the event loop does whenever something has happened. */
+  private void pump(int of) {
+    if (up && of == life) {
+      if (stillness == Stillness.NONE) {
+        line.clock(world.time.now());
+        line.pump(world.time.now());
+      }
+      world.time.after(PUMP, () -> pump(of));
+    }
+  }
+
   private boolean refusedByState() {
     return world.time.now() < refusedByStateUntil;
   }
--- a/src/main/java/org/oakwalk/model/SimUser.java
+++ b/src/main/java/org/oakwalk/model/SimUser.java
@@ -21,6 +21,9 @@
   private boolean polling;
   private double answeredAt;
   private boolean muted;
+  private boolean gaveUp;
+  private final long firstTry;
+  private long lastTry;
   Double acceptedAfter;
   Integer refusedWith;
 
@@ -29,18 +32,23 @@
     this.spec = spec;
     this.job = spec.id();
     this.began = world.time.seconds();
+    this.firstTry = world.time.now();
   }
 
   void submit() {
     if (world.rules.submits(job)) {
       world.figures.submits(spec);
+      world.waits.begins(Waits.Step.ACCEPTED, job);
     }
+    world.closeLooks.asks(job);
+    gaveUp = false;
     repeat(
         new UserRequest.Submit(job, Optional.of(spec), ""),
         world.time.seconds(),
         response -> {
           if (response instanceof Response.JobStatus && acceptedAfter == null) {
             acceptedAfter = world.time.seconds() - began;
+            world.waits.accepted(job);
             if (!polling) {
               polling = true;
               poll();
@@ -48,6 +56,7 @@
           }
           if (response instanceof Response.Problem problem && problem.status() < 429) {
             refusedWith = problem.status();
+            world.waits.ends(Waits.Step.ACCEPTED, job);
             return true;
           }
           return response instanceof Response.JobStatus;
@@ -59,6 +68,17 @@
     return answeredAt;
   }
 
+  /**
+   * Whether it tried to submit the job for as long as a user does, was never told that it is
+   * accepted nor why not, and no controller could have stored it.
+   */
+  boolean gaveUpInVain() {
+    return gaveUp
+        && acceptedAfter == null
+        && refusedWith == null
+        && world.givenUp.inVain(firstTry, lastTry);
+  }
+
   /** Whether the job was accepted, and its user has not been told yet that it is over. */
   boolean asks() {
     return polling && world.rules.told(job) == null;
@@ -71,18 +91,45 @@
       return;
     }
     world.rules.asksToCancel(job);
+    world.closeLooks.asks(job);
+    world.waits.gone(Waits.Step.BEGUN, job);
+    world.waits.begins(Waits.Step.CANCELLED, job);
     repeat(
         new UserRequest.Withdraw(job),
         world.time.seconds(),
-        response ->
-            response instanceof Response.JobStatus
-                || response instanceof Response.Problem problem && problem.status() == 404);
+        response -> {
+          if (response instanceof Response.JobStatus) {
+            world.waits.ends(Waits.Step.CANCELLED, job);
+            return true;
+          }
+          boolean unknown = response instanceof Response.Problem p && p.status() == 404;
+          if (unknown) {
+            world.waits.gone(Waits.Step.CANCELLED, job);
+          }
+          return unknown;
+        });
+  }
+
+  /** The first request goes to this node, repeated ones go where the load balancer sends them. */
+  void cancelAt(SimNode first) {
+    world.rules.asksToCancel(job);
+    ask(
+        new UserRequest.Withdraw(job),
+        Optional.of(first),
+        response -> {
+          if (!(response instanceof Response.JobStatus)) {
+            world.time.after(1000, this::cancel);
+          }
+        });
   }
 
   private void repeat(UserRequest request, double since, Predicate<Response> settled) {
+    boolean submits = request instanceof UserRequest.Submit;
     if (world.time.seconds() - since > GIVES_UP) {
+      gaveUp |= submits;
       return;
     }
+    lastTry = submits ? world.time.now() : lastTry;
     ask(
         request,
         response -> {
@@ -107,13 +154,22 @@
         });
   }
 
+  /** For how many milliseconds a user waits for an answer. */
+  static long waits(UserRequest request) {
+    return request instanceof UserRequest.Query ? QUERY_WAIT : OTHER_WAIT;
+  }
+
   /** Asks some node; calls back once, with null if no answer comes. */
   private void ask(UserRequest request, java.util.function.Consumer<Response> then) {
-    Optional<SimNode> node = muted ? Optional.empty() : world.someNode();
-    double asked = world.time.seconds();
+    ask(request, muted ? Optional.empty() : world.someNode(), then);
+  }
+
+  private void ask(
+      UserRequest request, Optional<SimNode> node, java.util.function.Consumer<Response> then) {
+    long asked = world.rules.moment();
     boolean[] over = new boolean[1];
     world.time.after(
-        request instanceof UserRequest.Query ? QUERY_WAIT : OTHER_WAIT,
+        waits(request),
         () -> {
           if (!over[0]) {
             over[0] = true;
@@ -130,7 +186,8 @@
                 response -> {
                   if (!over[0]) {
                     over[0] = true;
-                    world.rules.told(job, request instanceof UserRequest.Submit, asked, response);
+                    world.rules.told(
+                        job, request instanceof UserRequest.Submit, asked, response, node);
                     if (response instanceof Response.JobStatus) {
                       answeredAt = world.time.seconds();
                     }
@@ -141,7 +198,7 @@
 
   /** A late copy of a request: nobody waits for the answer any more, but it must not be wrong. */
   private void askAgain(UserRequest request) {
-    double asked = world.time.seconds();
+    long asked = world.rules.moment();
     world
         .someNode()
         .ifPresent(
@@ -150,6 +207,6 @@
                     request,
                     response ->
                         world.rules.toldAgain(
-                            job, request instanceof UserRequest.Submit, asked, response)));
+                            job, request instanceof UserRequest.Submit, asked, response, node)));
   }
 }
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.oakwalk.core.Attempt;
+import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.Order;
 import org.oakwalk.core.Report;
@@ -105,6 +106,7 @@
     if (goneAt == Long.MAX_VALUE) {
       bootedAt = world.time.now();
       renewedAt = bootedAt;
+      world.rules.freesRoom(this);
       step();
     }
   }
@@ -120,7 +122,7 @@
   }
 
   void hang(double seconds) {
-    hangsUntil = world.time.now() + Math.round(seconds * 1000);
+    hangsUntil = Math.max(hangsUntil, world.time.now() + Math.round(seconds * 1000));
     world.time.after(
         Math.round(seconds * 1000),
         () -> {
@@ -145,6 +147,16 @@
     slowness = factor;
   }
 
+  /** Whether its tasks neither fail nor run more slowly than elsewhere. */
+  boolean sound() {
+    return !faulty && slowness <= 1;
+  }
+
+  /** When it was rented, in seconds. */
+  double rentedSeconds() {
+    return world.time.seconds() - (world.time.now() - rentedAt) / 1000.0;
+  }
+
   /** Whether the cloud has given notice that it takes the machine. */
   boolean noticed() {
     return noticeAt != Long.MAX_VALUE;
@@ -268,9 +280,11 @@
     }
     expire();
     if (command.token().value() < token || command.session().value() != session) {
+      world.reportLoad.commanded(command, false);
       then.accept(new Answer.Commanded(false, snapshot()));
       return;
     }
+    world.reportLoad.commanded(command, true);
     sawToken(command.token());
     command.orders().forEach(this::execute);
     then.accept(new Answer.Commanded(true, snapshot()));
@@ -289,6 +303,20 @@
         answer -> {});
   }
 
+  /** Whether a task of this job is here, in whatever state but ended. */
+  boolean holds(JobId job) {
+    return tasks.entrySet().stream()
+        .anyMatch(entry -> entry.getKey().job().equals(job) && !entry.getValue().ended());
+  }
+
+  /** For how many seconds a task has worked here; 0 if it does not. */
+  double secondsRun(TaskId id) {
+    Task task = tasks.get(id);
+    return task == null || task.ended() || task.began > world.time.now()
+        ? 0
+        : (world.time.now() - task.began) / 1000.0 / slowness;
+  }
+
   Room used() {
     Room sum = Room.NONE;
     for (Task task : tasks.values()) {
@@ -304,6 +332,7 @@
     boolean same = known != null && known.attempt.equals(order.attempt());
     if (order instanceof Order.Run) {
       if (!same) {
+        world.keptReports.starts(order.attempt());
         start(order.task(), order.attempt(), known);
       }
     } else if (order instanceof Order.Halt halt) {
--- a/src/main/java/org/oakwalk/model/Troubles.java
+++ b/src/main/java/org/oakwalk/model/Troubles.java
@@ -28,12 +28,23 @@
 
   private static double lasts(Words line, String action, double lease) {
     return switch (action) {
-      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf" ->
+      case "refuse", "freeze", "full", "outage", "cut", "slownet", "hang", "deaf", "noreports" ->
           line.number("for", 10);
+      case "cancelnow" -> line.number("hang", 0);
+      case "cancelatend", "oddrequests" -> line.number("for", 10);
+      case "laterentals" -> line.number("for", 10) + line.number("after", 0);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
-      case "latewrites" -> line.number("for", 10) + line.number("after", Lateness.MOST_FOR_WRITES);
+      case "latewrites" ->
+          line.number("for", 10)
+              + (line.has("atonce") ? 0 : line.number("after", Lateness.MOST_FOR_WRITES));
+      // Questions alone trouble nobody.
+      case "closelooks" ->
+          line.number("ends", 0) > 0
+              ? line.number("for", 10) + line.number("back", 1)
+              : Double.NEGATIVE_INFINITY;
       case "latereports" ->
-          line.number("for", 10) + line.number("after", Lateness.MOST_LEASES * lease);
+          line.number("for", 10)
+              + line.number("after", line.has("fornext") ? 0 : Lateness.MOST_LEASES * lease);
       case "restart" ->
           (line.number("times", 1) - 1) * line.number("every", 1) + line.number("after", 0);
       case "notice" -> line.number("in", 10);
--- a/src/main/java/org/oakwalk/model/World.java
+++ b/src/main/java/org/oakwalk/model/World.java
@@ -22,14 +22,26 @@
   final Network network = new Network(time);
   final Rules rules = new Rules(this);
   final Lateness lateness;
+  final Cancellations cancellations;
+  final OddRequests oddRequests = new OddRequests(this);
+  final CloseLooks closeLooks;
+  final GivenUp givenUp = new GivenUp(time);
+  final KeptReports keptReports;
+  final NoReports noReports = new NoReports(time);
   final SimState state;
   final SimCloud cloud;
   final Settings settings;
+
+  /** Whether the state service keeps to its rates, so that nodes' requests wait for them. */
+  final boolean limited;
+
   final Plans plans;
   final Gangs gangs;
+  final Waits waits = new Waits(this);
   final Figures figures = new Figures(this);
   final Nights nights;
   final Largest largest = new Largest(this);
+  final ReportLoad reportLoad = new ReportLoad(this);
   final List<SimNode> nodes = new ArrayList<>();
   final Map<MachineId, SimWorker> workers = new LinkedHashMap<>();
   final Map<JobId, JobSpec> specs = new HashMap<>();
@@ -57,10 +69,17 @@
     this.settings = settings;
     this.plans = plans;
     this.nights = new Nights(this, plans.dawns());
-    this.lateness =
-        new Lateness(
-            time, settings.workers().lease().asSeconds(), Math.round(base.number("seed", 1)));
-    this.state = new SimState(time);
+    long seed = Math.round(base.number("seed", 1));
+    this.lateness = new Lateness(time, settings.workers().lease().asSeconds(), seed);
+    this.cancellations = new Cancellations(this, seed);
+    this.closeLooks = new CloseLooks(this, seed);
+    this.keptReports = new KeptReports(this, seed);
+    this.limited = base.has("limited");
+    this.state =
+        new SimState(
+            time,
+            limited ? Optional.of(new StoreRates(time, settings.state())) : Optional.empty(),
+            (int) base.number("changes", 10_000));
     this.cloud = new SimCloud(this, settings.cloud().listLag().asSeconds());
     this.gangs = new Gangs(this, base.number("gangwait", 35), base.number("gangpeer", 8));
     int nodeCount = (int) base.number("nodes", 3);
@@ -81,6 +100,7 @@
   private void check() {
     gangs.tick();
     rules.tick();
+    waits.tick();
     figures.tick();
     nights.tick().ifPresent(rules::promiseTakenBack);
     time.after(500, this::check);
--- a/src/test/java/org/oakwalk/core/fleet/RegistryTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/RegistryTest.java
@@ -106,6 +106,28 @@
     return ids;
   }
 
+  /** A leader fell before it removed what a lost answer had made it write twice. */
+  @Test
+  void machinesThatStandUnderTwoKeysLeaveTheSecond() {
+    List<StoredValue.MachineRecord> twice = List.of(record(1), record(2));
+    store.put("machine/a", new StoredValue.MachinesRecord(twice));
+    store.put("machine/b", new StoredValue.MachinesRecord(twice));
+    store.put("machine/c", new StoredValue.MachinesRecord(List.of(record(2), record(3))));
+    for (String key : List.of("machine/a", "machine/b", "machine/c")) {
+      stamps.put(key, ++epoch);
+      registry.found(key, new Revision(epoch), store.get(key).machines());
+    }
+    settle();
+    assertThat(store.keySet()).containsExactlyInAnyOrder("machine/a", "machine/c");
+    assertThat(store.get("machine/a").machines()).isEqualTo(twice);
+    assertThat(store.get("machine/c").machines()).containsExactly(record(3));
+  }
+
+  private static StoredValue.MachineRecord record(int number) {
+    return new StoredValue.MachineRecord(
+        new MachineId("host-%06d".formatted(number)), "10.0.0.1:9000", "t", "a", false);
+  }
+
   private void settle() {
     for (int i = 0; i < 100; i++) {
       for (Effect.Call call : tick()) {
