--- a/src/test/java/org/oakwalk/scenario/ForwardedAnswersTest.java
+++ b/src/test/java/org/oakwalk/scenario/ForwardedAnswersTest.java
@@ -35,7 +35,7 @@
       List.of(
           "",
           "at 20.45 slownet nodes state by=0.15 for=4",
-          "at 20.45 slownet leader nodes by=0.1 for=4",
+          "at 20.45 slownet leading nodes by=0.1 for=4",
           "at 20.45 latewrites followers for=4 share=0.5 atonce",
           "at 22.5 restart leading after=0.2",
           "at 20.3 closelooks for=10 every=5 rounds=3",
@@ -65,7 +65,7 @@
       text.append(
           Sweeps.line("at 3 submit j-%d array tasks=1 run=%.2f priority=high", job, room - 3.2));
       text.append(Sweeps.line("at %.2f submit j-%d service tasks=1", 4 + job * 0.05, 100 + job));
-      text.append(Sweeps.line("at %.3f cancel j-%d on=leader", room - lead, 100 + job));
+      text.append(Sweeps.line("at %.3f cancel j-%d on=leading", room - lead, 100 + job));
     }
     text.append("at 20 restart leader after=0.1\n");
     text.append(Sweeps.line("at %.2f refuse leading for=9", REFUSED));
