Scores of a class rest on the same learned run time, so of jobs that are alike the older goes first

Change: the learned factor of a class and the places of a kind are kept with the scores, and move for all of them at once.

--- a/src/main/java/org/oakwalk/core/placement/Ranking.java
+++ b/src/main/java/org/oakwalk/core/placement/Ranking.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -31,6 +33,10 @@
  * of places have moved by more than {@link #DRIFT}. In between it differs from what it would be by
  * no more than that; what all gain by waiting is left out, since it does not change the order. So a
  * long queue costs little as long as nothing happens in it.
+ *
+ * <p>All scores of a class rest on the same learned run time and all of a kind on the same number
+ * of places, also of jobs that come later: else jobs that are alike would leave in the order of
+ * what was learned when they came, and the wait of some would have no end as long as others come.
  */
 final class Ranking {
   /** By how much what all scores of a kind rest on may move before they are worked out anew. */
@@ -89,11 +95,14 @@
   private static final Comparator<Entry> ORDER =
       Comparator.comparingDouble((Entry entry) -> -entry.key()).thenComparing(FIRST_COME);
 
-  /** All entries of a kind, and what their scores rest on. */
+  /** All entries of a kind, and the number of places that their scores rest on. */
   private static final class Group {
     final TreeSet<Entry> entries = new TreeSet<>(ORDER);
     double places;
-    double factor;
+
+    Group(double places) {
+      this.places = places;
+    }
   }
 
   private final JobBook jobs;
@@ -102,6 +111,10 @@
   private final Quota quota;
   private final Map<Job, Entry> byJob = new IdentityHashMap<>();
   private final Map<Kind, Group> groups = new LinkedHashMap<>();
+
+  /** By how much guesses are off, by class, as the scores have it. */
+  private final Map<String, Double> factors = new HashMap<>();
+
   private final TreeSet<Entry> byExpiry =
       new TreeSet<>(Comparator.comparing(Entry::expires).thenComparing(FIRST_COME));
   private Map<MachineType, Integer> kinds = Map.of();
@@ -164,15 +177,24 @@
   }
 
   private void followDrift() {
+    Set<String> classes = new HashSet<>();
+    factors.forEach(
+        (jobClass, factor) -> {
+          if (moved(factor, runTimes.factor(jobClass))) {
+            classes.add(jobClass);
+          }
+        });
+    classes.forEach(jobClass -> factors.put(jobClass, runTimes.factor(jobClass)));
     List<Job> drifted = new ArrayList<>();
     groups.forEach(
         (kind, group) -> {
-          if (moved(group.places, places(kind.room()))
-              || moved(group.factor, runTimes.factor(kind.jobClass()))) {
-            group.places = places(kind.room());
-            group.factor = runTimes.factor(kind.jobClass());
-            group.entries.forEach(entry -> drifted.add(entry.job()));
+          double places = places(kind.room());
+          if (moved(group.places, places)) {
+            group.places = places;
+          } else if (!classes.contains(kind.jobClass())) {
+            return;
           }
+          group.entries.forEach(entry -> drifted.add(entry.job()));
         });
     drifted.forEach(this::place);
   }
@@ -190,42 +212,42 @@
       if (old.expires() != null) {
         byExpiry.remove(old);
       }
-      if (group.entries.isEmpty()) {
-        groups.remove(old.kind());
-      }
     }
     if (!job.open() || job.pendingCount() <= 0) {
+      forgetIfEmpty(old);
       return;
     }
     evaluations++;
     Kind kind = Kind.of(job, quota.guarantees(job));
-    Span remaining = remaining(job);
+    Group group = groups.computeIfAbsent(kind, added -> new Group(places(added.room())));
+    Span remaining = remaining(job, group);
     double key =
         score.of(job, remaining, Span.millis(0), largest, kind.guaranteed(), wall)
             - score.waited(job.waitingSince());
     Span holds = score.holdsFor(job, remaining, wall);
     Entry entry = new Entry(job, kind, key, job.stamp(), holds == null ? null : now.plus(holds));
     byJob.put(job, entry);
-    groups.computeIfAbsent(kind, this::group).entries.add(entry);
+    group.entries.add(entry);
     if (holds != null) {
       byExpiry.add(entry);
     }
+    forgetIfEmpty(old);
   }
 
-  private Group group(Kind kind) {
-    Group group = new Group();
-    group.places = places(kind.room());
-    group.factor = runTimes.factor(kind.jobClass());
-    return group;
+  private void forgetIfEmpty(Entry left) {
+    if (left != null && groups.get(left.kind()).entries.isEmpty()) {
+      groups.remove(left.kind());
+    }
   }
 
   /**
    * The time until a job could be complete: a run of one task, and before it what all machines
    * together need for the others. Of two jobs with equal tasks the one with fewer left goes first.
    */
-  private Span remaining(Job job) {
-    Span run = runTimes.expected(job.spec());
-    return run.plus(run.times(job.pendingCount() / Math.max(1, places(job.spec().room()))));
+  private Span remaining(Job job, Group group) {
+    double factor = factors.computeIfAbsent(job.spec().jobClass(), runTimes::factor);
+    Span run = runTimes.expected(job.spec(), factor);
+    return run.plus(run.times(job.pendingCount() / Math.max(1, group.places)));
   }
 
   private double places(Room task) {
--- a/src/main/java/org/oakwalk/core/placement/RunTimes.java
+++ b/src/main/java/org/oakwalk/core/placement/RunTimes.java
@@ -42,9 +42,13 @@
 
   /** The expected run time of a task of this job; zero for services. */
   public Span expected(JobSpec spec) {
+    return expected(spec, factor(spec.jobClass()));
+  }
+
+  /** The same, where guesses for the job's class are taken to be off by this factor. */
+  Span expected(JobSpec spec, double classFactor) {
     Ratio job = byJob.get(spec.id());
-    double factor = job != null && job.seen >= 2 ? job.mean : factor(spec.jobClass());
-    return spec.guess().times(factor);
+    return spec.guess().times(job != null && job.seen >= 2 ? job.mean : classFactor);
   }
 
   /** By how much guesses for this class are off. */
