Large arrays are helped until as many of their tasks have begun as can run at once

Symptom: room-overload-late, j-8 (one zone, 8 tasks, its team under its limit) begins after 322 s, where 240 s is the aim. By the log its tasks 0 to 4 began at 13 to 17 s, three more at 163 to 165 s by Largest's help for classes left behind, and the last at 335 s, when the overload was over: Largest helps a job until its first task has begun, while an array has begun, by the protocol's count, when as many of its tasks have as its team's limit allows at once. Could it have begun in time? Yes: its 8 tasks take 48 cpu seconds of the 32 x 240 there are; small low jobs that came after it started throughout (15 cpus on average).

--- a/src/main/java/org/oakwalk/core/placement/Largest.java
+++ b/src/main/java/org/oakwalk/core/placement/Largest.java
@@ -11,10 +11,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.ToIntFunction;
 import org.oakwalk.core.Moment;
 import org.oakwalk.core.Span;
 import org.oakwalk.core.WallTime;
 import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
 
 /**
@@ -26,6 +28,9 @@
  * <ul>
  *   <li>One of which nothing has begun gains a bonus for its first task, which is little to the
  *       others: a tenth of what is placed at most. Those within {@link #BOUND} go first.
+ *   <li>An array has begun only when as many of its tasks have as its team's limit allows at once.
+ *       For the rest of these tasks it gains the same bonus, a task a round, out of another tenth,
+ *       unless a plan says when they start.
  *   <li>The others gain one while too little of the largest of their class is served, and only
  *       while no other class of any team is left behind.
  * </ul>
@@ -47,6 +52,7 @@
   private static final double MOST_GROWN = 3;
   private static final double SHARE = 0.2;
   private static final double SHARE_OF_FIRST = 0.1;
+  private static final double SHARE_OF_REST = 0.1;
 
   /** Somewhat more than a tenth, since a leader does not know all jobs that ever were. */
   private static final double LARGE = 0.15;
@@ -75,8 +81,8 @@
       this.job = job;
     }
 
-    boolean begun() {
-      return job.doneCount() + job.activeCount() > 0;
+    int started() {
+      return job.doneCount() + job.activeCount();
     }
   }
 
@@ -97,6 +103,8 @@
 
   private final double guaranteeBonus;
   private final Turnout turnout;
+  private final Deadlines planned;
+  private final ToIntFunction<JobSpec> atOnce;
   private final Map<Job, Part> parts = new IdentityHashMap<>();
   private final Map<Turnout.Key, Account> accounts = new LinkedHashMap<>();
   private final Map<String, Sizes> sizes = new HashMap<>();
@@ -104,10 +112,11 @@
   /** What may be large, once others of its class have come that it can be compared with. */
   private final Deque<Part> unrated = new ArrayDeque<>();
 
-  /** What jobs gain in this round; of those with a first task to begin, only that is placed. */
+  /** What jobs gain in this round. */
   private final Map<Job, Double> favours = new LinkedHashMap<>();
 
-  private final Set<Job> firstOnly = new LinkedHashSet<>();
+  /** Those of them of which a single task is placed in this round. */
+  private final Set<Job> oneTaskOnly = new LinkedHashSet<>();
 
   /** Classes of which a favoured job has found no place in this round. */
   private final Set<Turnout.Key> hopeless = new HashSet<>();
@@ -115,14 +124,20 @@
   private Moment faded;
   private double placed;
   private double placedFirst;
+  private double placedRest;
   private double placedLarge;
 
   /**
    * Nothing is known yet.
    *
    * @param guaranteeBonus what a guarantee adds to a score
+   * @param planned by when jobs have to start after a plan
+   * @param atOnce how many tasks of a job can run at once at most
    */
-  Largest(double guaranteeBonus, Turnout turnout) {
+  Largest(
+      double guaranteeBonus, Turnout turnout, Deadlines planned, ToIntFunction<JobSpec> atOnce) {
+    this.planned = planned;
+    this.atOnce = atOnce;
     this.guaranteeBonus = guaranteeBonus;
     this.turnout = turnout;
   }
@@ -179,7 +194,7 @@
       rate(unrated.poll());
     }
     favours.clear();
-    firstOnly.clear();
+    oneTaskOnly.clear();
     hopeless.clear();
     accounts.forEach((key, account) -> favour(key, account, wall));
   }
@@ -199,6 +214,7 @@
       double keep = Math.pow(0.5, now.since(faded).asSeconds() / HALVES_IN_SECONDS);
       placed *= keep;
       placedFirst *= keep;
+      placedRest *= keep;
       placedLarge *= keep;
       accounts.values().forEach(account -> account.past *= keep);
     }
@@ -211,6 +227,7 @@
       return;
     }
     boolean first = placedFirst <= SHARE_OF_FIRST * placed;
+    boolean rest = placedRest <= SHARE_OF_REST * placed;
     double far = account.farBehind();
     boolean all = far > 0 && placedLarge <= SHARE * placed && !turnout.othersBehind(key);
     int met = 0;
@@ -225,9 +242,9 @@
       if (tooLate && late >= MOST_A_ROUND / 2) {
         continue;
       }
-      if (first && !part.begun()) {
+      if (part.started() == 0 ? first : rest && !hasBegun(part) && !planned(part.job, wall)) {
         favours.put(part.job, (tooLate ? 1 : grown(age)) * guaranteeBonus);
-        firstOnly.add(part.job);
+        oneTaskOnly.add(part.job);
       } else if (all) {
         favours.put(part.job, (1 + far) * guaranteeBonus);
       } else {
@@ -238,6 +255,17 @@
     }
   }
 
+  /** Whether as many of its tasks have begun as can run at once. */
+  private boolean hasBegun(Part part) {
+    JobSpec spec = part.job.spec();
+    return part.started() >= Math.min(spec.tasks(), atOnce.applyAsInt(spec));
+  }
+
+  /** Whether a plan says when its tasks start; what else would start now may break its promises. */
+  private boolean planned(Job job, WallTime wall) {
+    return planned.left(job, wall).isPresent();
+  }
+
   /** How many guarantees' bonus a wait of this length is worth. */
   private static double grown(Span waited) {
     return Math.min(MOST_GROWN, 1 + waited.minus(PATIENCE).asSeconds() / GROWS_IN.asSeconds());
@@ -253,9 +281,9 @@
     return favours.getOrDefault(job, 0.0);
   }
 
-  /** Whether it is favoured for its first task alone. */
-  boolean firstOnly(Job job) {
-    return firstOnly.contains(job);
+  /** Whether it is favoured for a single task in this round. */
+  boolean oneTaskOnly(Job job) {
+    return oneTaskOnly.contains(job);
   }
 
   /** The job found no place: if it is favoured, others of its class need not be met now. */
@@ -273,8 +301,12 @@
   /** Tasks of a job were placed. */
   void placed(Job job, int tasks) {
     placed += tasks;
-    if (firstOnly.contains(job)) {
-      placedFirst += tasks;
+    if (oneTaskOnly.contains(job)) {
+      if (job.doneCount() + job.activeCount() > tasks) {
+        placedRest += tasks;
+      } else {
+        placedFirst += tasks;
+      }
     } else if (favours.containsKey(job)) {
       placedLarge += tasks;
     }
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -88,7 +88,8 @@
         new Preemption(fleet.stoppable(), quota, targets, runTimes, turnout, reserve, takes);
     this.roomMaker =
         new RoomMaker(fleet, candidates, quota, targets, mayStop, preemption, reserve, takes);
-    this.largest = new Largest(policy.scoring().guaranteeBonus(), turnout);
+    this.largest =
+        new Largest(policy.scoring().guaranteeBonus(), turnout, targets.planned(), this::atOnce);
     this.gangs =
         new GangKeeper(fleet, candidates, quota, preemption, roomMaker, turnout, largest, reserve);
   }
@@ -266,7 +267,7 @@
       } else {
         search.taken();
       }
-      if (largest.firstOnly(job)) {
+      if (largest.oneTaskOnly(job)) {
         // The others have their turn in the order, from the next round on.
         return Outcome.ALL;
       }
@@ -278,6 +279,11 @@
     return Outcome.ALL;
   }
 
+  /** How many tasks of a job could run at once if nothing else did. */
+  private int atOnce(JobSpec spec) {
+    return Math.min(quota.limitOf(spec), Ranking.places(candidates.kinds(), spec.room()));
+  }
+
   private HostSearch search(Job job, Map<String, Integer> zones) {
     searches++;
     Span run = runTimes.expected(job.spec());
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -11,6 +11,7 @@
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobBook;
+import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.Room;
 
@@ -52,6 +53,20 @@
     return Math.max(0, rest(name).count(room));
   }
 
+  /** How many tasks of this job its team's limit allows at once. */
+  public int limitOf(JobSpec spec) {
+    Settings.Team team = teams.get(spec.team());
+    if (team == null) {
+      return 0;
+    }
+    Room limit =
+        new Room(
+            team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax(),
+            team.gpusMax() <= 0 ? Double.MAX_VALUE : team.gpusMax(),
+            Double.MAX_VALUE);
+    return limit.count(spec.room());
+  }
+
   /** Keeps what is free of their teams' limits for these gangs from now on, and for no others. */
   void await(Map<String, Job> gangs) {
     awaited.clear();
--- a/src/main/java/org/oakwalk/core/placement/Ranking.java
+++ b/src/main/java/org/oakwalk/core/placement/Ranking.java
@@ -251,8 +251,13 @@
   }
 
   private double places(Room task) {
+    return places(kinds, task);
+  }
+
+  /** How many tasks of this room so many machines of these types hold when they are empty. */
+  static int places(Map<MachineType, Integer> machines, Room task) {
     int places = 0;
-    for (Map.Entry<MachineType, Integer> kind : kinds.entrySet()) {
+    for (Map.Entry<MachineType, Integer> kind : machines.entrySet()) {
       places += kind.getValue() * kind.getKey().room().count(task);
     }
     return places;
