Ordinary machines are rented when work needs them, however many spot machines are held

Cause, by the log: 'need 2.8 (ordinary 2.8) wanted 6 held 6', 4 of the 6 spot: what is missing was worked out by the sum of both kinds alone. Change: ordinary machines that the need asks for and that are not held are missing, whatever the sum is. Looked for elsewhere: BoundWork counts by zone what its jobs can use, headroom by machines its rows allow.

--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -319,7 +319,12 @@
     }
     int wantedOrdinary =
         wanted == 0 ? 0 : (int) Math.ceil(need.ordinary() * (1 + policy.headroom())) + 1;
+    // Spot machines, however many there are, are of no use to work that must not run on them.
+    int lacking = Math.max(0, (int) Math.ceil(need.ordinary()) - ordinary);
     int missing = wanted - ordinary - spot;
+    if (lacking > 0) {
+      missing = Math.max(missing, lacking);
+    }
     enoughByType.put(type.name(), wanted - (int) Math.max(0, (wanted - need.total()) / 2));
     summary =
         String.format(
@@ -331,12 +336,15 @@
             wanted,
             ordinary + spot);
     if (missing > 0) {
-      missing -= surplus.keep(type, missing, now);
+      int kept = surplus.keepOrdinary(type, lacking, now);
+      lacking -= kept;
+      missing -= kept;
+      missing -= surplus.keep(type, missing - lacking, now);
     }
     if (missing > 0) {
       int flexible = Math.max(0, wanted - wantedOrdinary);
       int wantedSpot = (int) Math.floor(flexible * policy.spotShare());
-      int askSpot = Math.min(missing, Math.max(0, wantedSpot - spot));
+      int askSpot = Math.min(missing - lacking, Math.max(0, wantedSpot - spot));
       int left = askSpot > 0 ? missing - renter.rent(type, true, askSpot, now) : missing;
       if (left > 0) {
         left -= renter.rent(type, false, left, now);
--- a/src/main/java/org/oakwalk/core/capacity/Surplus.java
+++ b/src/main/java/org/oakwalk/core/capacity/Surplus.java
@@ -33,6 +33,11 @@
     return keep(type, machine -> true, count, now);
   }
 
+  /** As above, of ordinary machines. */
+  int keepOrdinary(MachineType type, int count, Moment now) {
+    return keep(type, machine -> !machine.spot(), count, now);
+  }
+
   /** As above, of one sort; ordinary ones do as well where spot machines do. */
   int keep(Boots.Sort sort, int count, Moment now) {
     return fleet.machines().stream()
