--- a/src/test/java/org/oakwalk/scenario/Census.java
+++ b/src/test/java/org/oakwalk/scenario/Census.java
@@ -2,6 +2,7 @@
 
 import java.lang.reflect.Array;
 import java.lang.reflect.Field;
+import java.lang.reflect.Method;
 import java.lang.reflect.Modifier;
 import java.util.ArrayDeque;
 import java.util.Collection;
@@ -46,6 +47,13 @@
     return field.get(of);
   }
 
+  /** What a method without parameters returns, whoever may call it. */
+  static Object call(Object on, String name) throws ReflectiveOperationException {
+    Method method = on.getClass().getDeclaredMethod(name);
+    method.setAccessible(true);
+    return method.invoke(on);
+  }
+
   private void reach(String by, Object object) {
     if (object != null && seen.add(object)) {
       next.add(new Reached(by, object));
--- /dev/null
+++ b/src/test/java/org/oakwalk/scenario/ScalingTest.java
@@ -0,0 +1,214 @@
+package org.oakwalk.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.oakwalk.core.Controller;
+import org.oakwalk.core.JobId;
+import org.oakwalk.core.NodeId;
+import org.oakwalk.core.Report;
+import org.oakwalk.core.Token;
+import org.oakwalk.core.placement.Placer;
+import org.oakwalk.core.port.PeerMessage;
+import org.oakwalk.model.Outcome;
+import org.oakwalk.model.Scenario;
+import org.oakwalk.wire.PeerCodec;
+
+/**
+ * What a steady load costs the controllers, in counts that repeat, on fleets of different sizes
+ * with work in proportion. Each count is bounded by what the design promises, and must not grow by
+ * more than a tenth a machine or a task from the smallest fleet to the largest: so nothing is
+ * quadratic.
+ *
+ * <p>The build plays 500 and 1,000 machines; {@code -Doakwalk.scaling=500,1000,2000,4000} plays
+ * more.
+ */
+class ScalingTest {
+  /** Where the counts can be read after a run. */
+  private static final Path FIGURES = Path.of("target/scaling.txt");
+
+  private static final String SIZES = System.getProperty("oakwalk.scaling", "500,1000");
+
+  /** How much more a machine or task may cost on the largest fleet than on the smallest. */
+  private static final double GROWTH = 1.1;
+
+  /**
+   * A task is looked at when it is placed, begins to run, ends, and when its result is stored; its
+   * job's other tasks share that, and each attempt to place costs a search.
+   */
+  private static final double EVALUATIONS_A_TASK = 5;
+
+  /** Its acceptance, its end, and at most one stored part of its results. */
+  private static final double CHANGES_A_JOB = 3;
+
+  /** Machines are registered dozens to a key, a dozen at least. */
+  private static final double CHANGES_A_MACHINE = 1.0 / 12;
+
+  /** Leader key, machine types and the like. */
+  private static final double CHANGES_OF_A_LEADER = 20;
+
+  /** Head of a report, and for each of a machine's tasks, running or ended, its id and state. */
+  private static final double BYTES_A_REPORT = 256;
+
+  private static final double BYTES_A_TASK = 64;
+
+  /** A job's id with two counts, each second to each peer. */
+  private static final double DIGEST_BYTES_A_JOB = 32;
+
+  /** Entries of collections a machine that the leader keeps, its tasks included. */
+  private static final double ENTRIES_A_MACHINE = 200;
+
+  private record Measured(int machines, Map<String, Double> counts) {
+    double get(String name) {
+      return counts.get(name);
+    }
+  }
+
+  @Test
+  void costsGrowWithTheFleetAndNoFaster() throws Exception {
+    List<Measured> all =
+        Arrays.stream(SIZES.split(",")).map(Integer::parseInt).map(ScalingTest::measure).toList();
+    Files.write(FIGURES, all.stream().map(Measured::toString).toList());
+    for (Measured measured : all) {
+      assertThat(measured.get("evaluations a task")).isLessThan(EVALUATIONS_A_TASK);
+      assertThat(measured.get("changes"))
+          .isLessThan(
+              CHANGES_A_JOB * measured.get("jobs")
+                  + CHANGES_A_MACHINE * measured.machines()
+                  + CHANGES_OF_A_LEADER);
+      assertThat(measured.get("bytes a report"))
+          .isLessThan(BYTES_A_REPORT + BYTES_A_TASK * measured.get("listed a report"));
+      assertThat(measured.get("digest bytes a job")).isLessThan(DIGEST_BYTES_A_JOB);
+      assertThat(measured.get("entries a machine")).isLessThan(ENTRIES_A_MACHINE);
+    }
+    Measured least = all.get(0);
+    Measured most = all.get(all.size() - 1);
+    for (String name :
+        List.of(
+            "evaluations a task",
+            "changes a job",
+            "requests a machine",
+            "reports a machine",
+            "commands a task",
+            "bytes a report",
+            "digest bytes a job",
+            "entries a machine")) {
+      assertThat(most.get(name)).as(name).isLessThan(least.get(name) * GROWTH);
+    }
+  }
+
+  private static Measured measure(int machines) {
+    try {
+      Scenario scenario = new Scenario(text(machines));
+      Outcome outcome = scenario.play();
+      assertThat(outcome.held()).as(outcome.complaint()).isTrue();
+      return new Measured(machines, counts(machines, scenario, outcome));
+    } catch (ReflectiveOperationException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /**
+   * Three fifths of the fleet run short tasks, which come steadily, and half of a task a service.
+   */
+  private static String text(int machines) {
+    StringBuilder text = new StringBuilder();
+    text.append(
+        Sweeps.line(
+            "settings nodes=5 zones=a,b report=2.5 lease=15 cancel=45 rps=%d write_rps=%d txn=32",
+            machines, machines / 2));
+    text.append("type m cpus=16 mem=64 boot=20 cache=50 fetch=1\n");
+    for (String zone : List.of("a", "b")) {
+      text.append(Sweeps.line("machine m %s %d", zone, machines / 2));
+      text.append(Sweeps.line("capacity m %s 0", zone));
+    }
+    for (int job = 0; job < machines / 10; job++) {
+      text.append(
+          Sweeps.line(
+              "at %.3f submit j-%d service tasks=5 cpus=2 priority=high class=front image=s%d gb=1",
+              3 + job * 20.0 / machines, 100_000 + job, job % 8));
+    }
+    text.append(
+        Sweeps.line(
+            "every %.4f 8 68 1000 array tasks=16 run=30 guess=30 class=batch image=b gb=1",
+            50.0 / machines));
+    text.append("end 70\n");
+    return text.toString();
+  }
+
+  private static Map<String, Double> counts(int machines, Scenario scenario, Outcome outcome)
+      throws ReflectiveOperationException {
+    Map<String, Double> figures = outcome.figures();
+    double jobs = figures.get("batch.jobs") + figures.get("front.jobs");
+    double tasks = figures.get("batch.tasks_started") + figures.get("front.tasks_started");
+    Controller leader = leader(scenario);
+    Object term = ((Optional<?>) Census.field(leader, "term")).orElseThrow();
+    Map<String, Double> counts = new LinkedHashMap<>();
+    counts.put("jobs", jobs);
+    counts.put("tasks", tasks);
+    counts.put("evaluations a task", ((Placer) Census.field(term, "placer")).work() / tasks);
+    counts.put("changes", figures.get("state.changes"));
+    counts.put("changes a job", figures.get("state.changes") / jobs);
+    counts.put("requests a machine", figures.get("state.requests") / machines);
+    counts.put("reports a machine", figures.get("reports.sent") / machines);
+    counts.put("commands a task", figures.get("commands.executed") / tasks);
+    counts.put(
+        "listed a report", figures.get("reports.mean_tasks") + figures.get("reports.mean_ended"));
+    counts.put("bytes a report", bytesOfReport(scenario));
+    counts.put("digest bytes a job", digestBytes(term));
+    counts.put("entries a machine", entries(leader) / machines);
+    return counts;
+  }
+
+  private static Controller leader(Scenario scenario) throws ReflectiveOperationException {
+    Object world = Census.field(scenario, "world");
+    for (Object node : (List<?>) Census.field(world, "nodes")) {
+      Controller controller = (Controller) Census.field(node, "controller");
+      if (controller.leads()) {
+        return controller;
+      }
+    }
+    throw new AssertionError("nobody leads");
+  }
+
+  /** Mean size of the reports that all workers would send now, as controllers carry them. */
+  private static double bytesOfReport(Scenario scenario) throws ReflectiveOperationException {
+    Object world = Census.field(scenario, "world");
+    Collection<?> workers = ((Map<?, ?>) Census.field(world, "workers")).values();
+    double bytes = 0;
+    for (Object worker : workers) {
+      Report report = (Report) Census.call(worker, "snapshot");
+      bytes += PeerCodec.encode(new PeerMessage.Carry(report)).length;
+    }
+    return bytes / workers.size();
+  }
+
+  /** What a job adds to the digest that the leader sends to each peer every second. */
+  private static double digestBytes(Object term) throws ReflectiveOperationException {
+    @SuppressWarnings("unchecked")
+    Map<JobId, PeerMessage.Counts> counts =
+        (Map<JobId, PeerMessage.Counts>) Census.call(term, "counts");
+    int empty = digest(new HashMap<>());
+    return (digest(counts) - empty) / (double) counts.size();
+  }
+
+  private static int digest(Map<JobId, PeerMessage.Counts> counts) {
+    return PeerCodec.encode(
+            new PeerMessage.Digest(new NodeId("node-0"), new Token(1), true, counts, Set.of()))
+        .length;
+  }
+
+  private static double entries(Controller leader) throws ReflectiveOperationException {
+    return Census.of(leader).values().stream().mapToDouble(Integer::doubleValue).sum();
+  }
+}
