--- a/src/main/java/org/oakwalk/core/Controller.java
+++ b/src/main/java/org/oakwalk/core/Controller.java
@@ -7,12 +7,12 @@
 import org.oakwalk.core.capacity.Catalogue;
 import org.oakwalk.core.job.Admission;
 import org.oakwalk.core.job.OpenQuestions;
-import org.oakwalk.core.job.UserDesk;
+import org.oakwalk.core.job.UserRequestHandler;
 import org.oakwalk.core.leadership.Leadership;
-import org.oakwalk.core.leadership.Lodging;
 import org.oakwalk.core.leadership.Relay;
 import org.oakwalk.core.leadership.ReportForwarding;
 import org.oakwalk.core.leadership.WithdrawalHalts;
+import org.oakwalk.core.leadership.WorkerRedirects;
 import org.oakwalk.core.port.Answer;
 import org.oakwalk.core.port.Effect;
 import org.oakwalk.core.port.Event;
@@ -49,8 +49,8 @@
   private final Leadership leadership;
   private final Relay relay;
   private final ReportForwarding forwarding = new ReportForwarding();
-  private final Lodging lodging = new Lodging();
-  private final UserDesk desk;
+  private final WorkerRedirects redirects = new WorkerRedirects();
+  private final UserRequestHandler userRequests;
   private final WithdrawalHalts halts;
   private final OpenQuestions questions = new OpenQuestions();
   private final Catalogue catalogue;
@@ -113,8 +113,8 @@
             });
     this.halts = new WithdrawalHalts(view);
     this.relay = new Relay(outbox, view, settings);
-    this.desk =
-        new UserDesk(
+    this.userRequests =
+        new UserRequestHandler(
             outbox,
             view,
             settings.teams(),
@@ -159,7 +159,7 @@
     }
     handled = Optional.of(now);
     view.clock(now);
-    desk.clock(now, wall);
+    userRequests.clock(now, wall);
     step(event);
     return outbox.drain();
   }
@@ -186,7 +186,7 @@
     if (term.isPresent()) {
       Optional<NodeId> host =
           reports.crowded() && leadership.mayAnswer(now) && !term.get().above(report)
-              ? lodging.host(report.machine(), now)
+              ? redirects.host(report.machine(), now)
               : Optional.empty();
       outbox.respond(
           reports.exchange(),
@@ -231,10 +231,10 @@
     leadership.tick(now);
     relay.tick(leadership.holdsToken(), now);
     catalogue.tick(leadership.holdsToken(), view.types(), now);
-    desk.types(catalogue.types());
+    userRequests.types(catalogue.types());
     if (term.isPresent()
         && leadership.mayStepAside(now)
-        && term.get().blind(lodging.anyHost(now), now)) {
+        && term.get().blind(redirects.anyHost(now), now)) {
       leadership.stepAside(now);
     }
     term.ifPresent(
@@ -260,7 +260,7 @@
 
   private void digest(LeaderTerm current) {
     Map<JobId, PeerMessage.Counts> counts = current.counts();
-    desk.counts(counts);
+    userRequests.counts(counts);
     PeerMessage message =
         new PeerMessage.Digest(
             settings.node(), current.token(), view.fresh(now), counts, current.suspects());
@@ -270,7 +270,7 @@
           answer -> {
             if (answer instanceof Answer.Told told
                 && told.message() instanceof PeerMessage.Acknowledged acknowledged) {
-              lodging.heard(acknowledged.from(), now);
+              redirects.heard(acknowledged.from(), now);
               term.filter(r -> r == current && acknowledged.settled())
                   .ifPresent(r -> r.peerSettled(acknowledged.from(), now));
             }
@@ -321,7 +321,7 @@
    */
   private void serve(Event.UserAsks asks) {
     questions.asked(asks.exchange(), asks.request(), now);
-    desk.serve(
+    userRequests.serve(
         asks.request(),
         response -> {
           boolean unavailable = response instanceof Response.Problem p && p.status() == 503;
@@ -351,7 +351,8 @@
               peer,
               forwarded,
               view.position());
-          answer(asks, forwarded.map(told -> desk.passOn(told, otherwise)).orElse(otherwise));
+          answer(
+              asks, forwarded.map(told -> userRequests.passOn(told, otherwise)).orElse(otherwise));
         });
   }
 
@@ -368,7 +369,7 @@
 
   private Response health() {
     boolean reaches = !now.past(view.contact(), READY_WITHOUT_CONTACT) || servingPeer().isPresent();
-    boolean serves = view.loaded() && desk.knowsTypes() && reaches;
+    boolean serves = view.loaded() && userRequests.knowsTypes() && reaches;
     return serves ? new Response.Ready() : Response.unavailable("not ready", SOON);
   }
 
@@ -387,7 +388,7 @@
         forwarding.heard(digest.from(), digest.token(), now);
       }
       if (term.isEmpty()) {
-        desk.counts(digest.counts());
+        userRequests.counts(digest.counts());
         suspects = digest.suspects();
         if (digest.serves()) {
           digestFrom = Optional.of(digest.from());
@@ -403,7 +404,7 @@
           says.exchange(),
           new Response.ToPeer(new PeerMessage.Acknowledged(settings.node(), false)));
     } else if (says.message() instanceof PeerMessage.Carry carry) {
-      boolean cutOff = !lodging.lodges(carry.report().machine(), now);
+      boolean cutOff = !redirects.lodges(carry.report().machine(), now);
       Response response = report(carry.report(), cutOff);
       outbox.respond(
           says.exchange(),
@@ -412,7 +413,7 @@
                   ? new PeerMessage.Carried(Optional.of(orders.token()), orders.orders())
                   : new PeerMessage.Carried(Optional.empty(), List.of())));
     } else if (says.message() instanceof PeerMessage.Forward forward) {
-      desk.serve(
+      userRequests.serve(
           forward.request(),
           response ->
               outbox.respond(
--- a/src/main/java/org/oakwalk/core/job/UserDesk.java
+++ b/src/main/java/org/oakwalk/core/job/UserRequestHandler.java
@@ -33,8 +33,8 @@
  * Serves users, on every node. Nothing is promised that is not stored, and nothing but a final
  * state is told without a read of the store that began after the question came.
  */
-public final class UserDesk {
-  private static final Logger LOG = LoggerFactory.getLogger(UserDesk.class);
+public final class UserRequestHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(UserRequestHandler.class);
   private static final Span SOON = Span.seconds(1);
   private static final Span FULL = Span.seconds(10);
   private static final int MOST_TRIES = 4;
@@ -48,7 +48,7 @@
   private Moment now = new Moment(0);
   private WallTime wall = new WallTime(0);
 
-  public UserDesk(
+  public UserRequestHandler(
       Outbox outbox, StoreView view, Map<String, Settings.Team> teams, Admission admission) {
     this.admission = admission;
     this.outbox = outbox;
--- a/src/main/java/org/oakwalk/core/leadership/Lodging.java
+++ b/src/main/java/org/oakwalk/core/leadership/WorkerRedirects.java
@@ -15,7 +15,7 @@
  * so they stay here again once there is room. Other than those that a follower carries because they
  * can't reach the leader, they can be reached by command.
  */
-public final class Lodging {
+public final class WorkerRedirects {
   private static final Span HEARD_WITHIN = Span.millis(2500);
 
   /** Longer than a follower carries reports before it sends a worker back. */
--- a/src/main/java/org/oakwalk/core/placement/GangKeeper.java
+++ b/src/main/java/org/oakwalk/core/placement/GangKeeper.java
@@ -51,7 +51,7 @@
   private final Quota quota;
   private final Preemption preemption;
   private final RoomMaker roomMaker;
-  private final Turnout turnout;
+  private final ServedShares servedShares;
   private final Largest largest;
   private final Reserve reserve;
 
@@ -74,11 +74,11 @@
       Quota quota,
       Preemption preemption,
       RoomMaker roomMaker,
-      Turnout turnout,
+      ServedShares servedShares,
       Largest largest,
       Reserve reserve) {
     this.reserve = reserve;
-    this.turnout = turnout;
+    this.servedShares = servedShares;
     this.largest = largest;
     this.fleet = fleet;
     this.candidates = candidates;
@@ -139,7 +139,7 @@
   /** Whether it is among the largest and has waited for long. */
   private boolean presses(Job gang, WallTime wall) {
     return wall.since(gang.accepted()).compareTo(Largest.PATIENCE) >= 0
-        && (largest.large(gang) || turnout.behind(Turnout.Key.of(gang)));
+        && (largest.large(gang) || servedShares.behind(ServedShares.Key.of(gang)));
   }
 
   private boolean keep(Job gang, Moment now, WallTime wall) {
--- a/src/main/java/org/oakwalk/core/placement/Largest.java
+++ b/src/main/java/org/oakwalk/core/placement/Largest.java
@@ -35,9 +35,9 @@
  *       while no other class of any team is left behind.
  * </ul>
  *
- * <p>Where all jobs of a class are about as large, they are the class, and {@link Turnout} sees to
- * it. The wait counts from the job's acceptance, whoever led meanwhile. Gangs start whole and have
- * machines kept for them instead, see {@link GangKeeper}.
+ * <p>Where all jobs of a class are about as large, they are the class, and {@link ServedShares}
+ * sees to it. The wait counts from the job's acceptance, whoever led meanwhile. Gangs start whole
+ * and have machines kept for them instead, see {@link GangKeeper}.
  */
 final class Largest {
   /** How long a job may wait until it is helped. */
@@ -102,11 +102,11 @@
   }
 
   private final double guaranteeBonus;
-  private final Turnout turnout;
+  private final ServedShares servedShares;
   private final Deadlines planned;
   private final ToIntFunction<JobSpec> atOnce;
   private final Map<Job, Part> parts = new IdentityHashMap<>();
-  private final Map<Turnout.Key, Account> accounts = new LinkedHashMap<>();
+  private final Map<ServedShares.Key, Account> accounts = new LinkedHashMap<>();
   private final Map<String, Sizes> sizes = new HashMap<>();
 
   /** What may be large, once others of its class have come that it can be compared with. */
@@ -119,7 +119,7 @@
   private final Set<Job> oneTaskOnly = new LinkedHashSet<>();
 
   /** Classes of which a favoured job has found no place in this round. */
-  private final Set<Turnout.Key> hopeless = new HashSet<>();
+  private final Set<ServedShares.Key> hopeless = new HashSet<>();
 
   private Moment faded;
   private double placed;
@@ -135,11 +135,14 @@
    * @param atOnce how many tasks of a job can run at once at most
    */
   Largest(
-      double guaranteeBonus, Turnout turnout, Deadlines planned, ToIntFunction<JobSpec> atOnce) {
+      double guaranteeBonus,
+      ServedShares servedShares,
+      Deadlines planned,
+      ToIntFunction<JobSpec> atOnce) {
     this.planned = planned;
     this.atOnce = atOnce;
     this.guaranteeBonus = guaranteeBonus;
-    this.turnout = turnout;
+    this.servedShares = servedShares;
   }
 
   /** A job has come, changed or ended. */
@@ -158,7 +161,7 @@
       }
     }
     if (part.large) {
-      Account account = accounts.computeIfAbsent(Turnout.Key.of(job), key -> new Account());
+      Account account = accounts.computeIfAbsent(ServedShares.Key.of(job), key -> new Account());
       int served = counts ? job.doneCount() + job.activeCount() : 0;
       account.served += served - part.served;
       part.served = served;
@@ -190,7 +193,7 @@
   /** Lets time pass, and finds out which jobs are favoured in this round. */
   void round(Moment now, WallTime wall) {
     fade(now);
-    while (!unrated.isEmpty() && now.past(unrated.peek().job.seen(), Turnout.RIPE_AFTER)) {
+    while (!unrated.isEmpty() && now.past(unrated.peek().job.seen(), ServedShares.RIPE_AFTER)) {
       rate(unrated.poll());
     }
     favours.clear();
@@ -206,7 +209,7 @@
     }
     part.large = true;
     touched(job);
-    accounts.get(Turnout.Key.of(job)).arrived += job.spec().tasks();
+    accounts.get(ServedShares.Key.of(job)).arrived += job.spec().tasks();
   }
 
   private void fade(Moment now) {
@@ -221,7 +224,7 @@
     faded = now;
   }
 
-  private void favour(Turnout.Key key, Account account, WallTime wall) {
+  private void favour(ServedShares.Key key, Account account, WallTime wall) {
     if (account.waiting.isEmpty()
         || wall.since(account.waiting.first().job.accepted()).compareTo(PATIENCE) < 0) {
       return;
@@ -229,7 +232,7 @@
     boolean first = placedFirst <= SHARE_OF_FIRST * placed;
     boolean rest = placedRest <= SHARE_OF_REST * placed;
     double far = account.farBehind();
-    boolean all = far > 0 && placedLarge <= SHARE * placed && !turnout.othersBehind(key);
+    boolean all = far > 0 && placedLarge <= SHARE * placed && !servedShares.othersBehind(key);
     int met = 0;
     int late = 0;
     for (Part part : account.waiting) {
@@ -289,13 +292,13 @@
   /** The job found no place: if it is favoured, others of its class need not be met now. */
   void inVain(Job job) {
     if (favours.containsKey(job)) {
-      hopeless.add(Turnout.Key.of(job));
+      hopeless.add(ServedShares.Key.of(job));
     }
   }
 
   /** Whether the job is favoured, but another of its class found no place in this round. */
   boolean hopeless(Job job) {
-    return favours.containsKey(job) && hopeless.contains(Turnout.Key.of(job));
+    return favours.containsKey(job) && hopeless.contains(ServedShares.Key.of(job));
   }
 
   /** Tasks of a job were placed. */
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -40,7 +40,7 @@
   private final Candidates candidates;
   private final Ranking ranking;
   private final RoomMaker roomMaker;
-  private final Turnout turnout = new Turnout();
+  private final ServedShares servedShares = new ServedShares();
   private final Reserve reserve;
   private final Largest largest;
   private final GangKeeper gangs;
@@ -85,13 +85,15 @@
     this.candidates = new Candidates(fleet, runTimes, suspectAfter, reserve);
     this.ranking = new Ranking(jobs, runTimes, new Score(policy.scoring(), targets), quota);
     Preemption preemption =
-        new Preemption(fleet.stoppable(), quota, targets, runTimes, turnout, reserve, takes);
+        new Preemption(fleet.stoppable(), quota, targets, runTimes, servedShares, reserve, takes);
     this.roomMaker =
         new RoomMaker(fleet, candidates, quota, targets, mayStop, preemption, reserve, takes);
     this.largest =
-        new Largest(policy.scoring().guaranteeBonus(), turnout, targets.planned(), this::atOnce);
+        new Largest(
+            policy.scoring().guaranteeBonus(), servedShares, targets.planned(), this::atOnce);
     this.gangs =
-        new GangKeeper(fleet, candidates, quota, preemption, roomMaker, turnout, largest, reserve);
+        new GangKeeper(
+            fleet, candidates, quota, preemption, roomMaker, servedShares, largest, reserve);
   }
 
   /** Keeps a machine for a gang that has to start whole. */
@@ -116,10 +118,10 @@
     regularRounds += regular ? 1 : 0;
     roomMaker.begin(now, wall);
     candidates.survey(now);
-    turnout.round(now);
+    servedShares.round(now);
     List<Job> touched = ranking.refresh(candidates.kinds(), quota.survey(jobs), now, wall);
     for (Job job : touched) {
-      turnout.touched(job);
+      servedShares.touched(job);
       largest.touched(job);
       gangs.touched(job);
       if (job.rankedFrom() < 0) {
@@ -163,10 +165,10 @@
 
   /** What a class that is left behind gains: as much as by a guarantee, or up to twice that. */
   private double bonus(Ranking.Kind kind) {
-    if (kind.priority().compareTo(Priority.HIGH) >= 0 || !turnout.helps()) {
+    if (kind.priority().compareTo(Priority.HIGH) >= 0 || !servedShares.helps()) {
       return 0;
     }
-    double far = turnout.farBehind(new Turnout.Key(kind.team(), kind.jobClass()));
+    double far = servedShares.farBehind(new ServedShares.Key(kind.team(), kind.jobClass()));
     return far <= 0 ? 0 : (1 + far) * policy.scoring().guaranteeBonus();
   }
 
@@ -184,7 +186,7 @@
     int before = placed;
     Outcome outcome = place(job);
     if (placed > before && job.spec().priority().compareTo(Priority.HIGH) < 0) {
-      turnout.placed(Turnout.Key.of(job), placed - before);
+      servedShares.placed(ServedShares.Key.of(job), placed - before);
       largest.placed(job, placed - before);
     }
     switch (outcome) {
--- a/src/main/java/org/oakwalk/core/placement/Preemption.java
+++ b/src/main/java/org/oakwalk/core/placement/Preemption.java
@@ -22,7 +22,7 @@
   private static final double LATENESS = 60;
 
   private final Stoppable stoppable;
-  private final Turnout turnout;
+  private final ServedShares servedShares;
   private final Quota quota;
   private final Targets targets;
   private final RunTimes runTimes;
@@ -34,12 +34,12 @@
       Quota quota,
       Targets targets,
       RunTimes runTimes,
-      Turnout turnout,
+      ServedShares servedShares,
       Reserve reserve,
       Takes takes) {
     this.reserve = reserve;
     this.takes = takes;
-    this.turnout = turnout;
+    this.servedShares = servedShares;
     this.stoppable = stoppable;
     this.quota = quota;
     this.targets = targets;
@@ -173,7 +173,7 @@
     // What is left behind would be stopped each time it comes to run.
     if (asking == Priority.NORMAL
         && savable(sort)
-        && !turnout.behind(new Turnout.Key(sort.team(), sort.jobClass()))) {
+        && !servedShares.behind(new ServedShares.Key(sort.team(), sort.jobClass()))) {
       return true;
     }
     return claims
--- a/src/main/java/org/oakwalk/core/placement/Turnout.java
+++ b/src/main/java/org/oakwalk/core/placement/ServedShares.java
@@ -15,7 +15,7 @@
  * the rest would wait until it ends. A class of which clearly less than half has been served counts
  * as left behind; it gains a bonus until a quarter of what is placed goes to such classes.
  */
-final class Turnout {
+final class ServedShares {
   private static final double LEFT_BEHIND = 0.6;
   private static final double SHARE = 0.25;
 
--- a/src/main/java/org/oakwalk/model/Draw.java
+++ b/src/main/java/org/oakwalk/model/Draw.java
@@ -67,7 +67,7 @@
     return this;
   }
 
-  /** Meetings of the kinds that operators hunt for, with teams at their limits. */
+  /** Combinations of faults of the kinds that operators hunt for, with teams at their limits. */
   public Draw withHunts() {
     hunts = true;
     return this;
@@ -154,7 +154,7 @@
       finite.addAll(hunt.finite());
       over = hunt.ends();
     } else if (meetings) {
-      Meetings met = new Meetings(random, nodes, machinesInAll(), zones, cancel);
+      FaultCombinations met = new FaultCombinations(random, nodes, machinesInAll(), zones, cancel);
       lines.addAll(met.lines());
       finite.addAll(met.finite());
     } else {
--- a/src/main/java/org/oakwalk/model/Meetings.java
+++ b/src/main/java/org/oakwalk/model/FaultCombinations.java
@@ -10,7 +10,7 @@
  * Draws troubles that overlap in time, two or three of them, while users cancel. Everything is over
  * by {@link Draw#LAST_TROUBLE_ENDS}, with what comes late.
  */
-final class Meetings {
+final class FaultCombinations {
   /** Troubles go on until then at most; what they have made late comes after that. */
   private static final int OVER = 80;
 
@@ -23,7 +23,8 @@
   private final int cancel;
   private final List<String> lines = new ArrayList<>();
 
-  Meetings(UniformRandomProvider random, int nodes, int machines, boolean zones, int cancel) {
+  FaultCombinations(
+      UniformRandomProvider random, int nodes, int machines, boolean zones, int cancel) {
     this.random = random;
     this.nodes = nodes;
     this.machines = machines;
--- a/src/main/java/org/oakwalk/model/Hunt.java
+++ b/src/main/java/org/oakwalk/model/Hunt.java
@@ -6,9 +6,9 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Draws the meetings that operators hunt for: one trouble of a newer kind, which one or two others
- * of any kind join, while teams stand at their limits, arrays are bound to a zone, jobs come to
- * their ends, and users cancel, repeat and look closely.
+ * Draws the fault combinations that operators hunt for: one trouble of a newer kind, which one or
+ * two others of any kind join, while teams stand at their limits, arrays are bound to a zone, jobs
+ * come to their ends, and users cancel, repeat and look closely.
  */
 final class Hunt {
   /** Troubles go on until then at most; what they have made late comes after that. */
@@ -36,7 +36,7 @@
   }
 
   private final UniformRandomProvider random;
-  private final Meetings meetings;
+  private final FaultCombinations combinations;
   private final int nodes;
   private final boolean zones;
   private final int cancel;
@@ -48,7 +48,7 @@
 
   Hunt(UniformRandomProvider random, int nodes, int machines, boolean zones, int cancel) {
     this.random = random;
-    this.meetings = new Meetings(random, nodes, machines, zones, cancel);
+    this.combinations = new FaultCombinations(random, nodes, machines, zones, cancel);
     this.nodes = nodes;
     this.zones = zones;
     this.cancel = cancel;
@@ -78,16 +78,16 @@
       if (random.nextBoolean()) {
         trouble(kinds[random.nextInt(kinds.length)], begins, 3 + random.nextInt(30));
       } else {
-        lines.addAll(meetings.anyTrouble(begins, 3 + random.nextInt(30)));
+        lines.addAll(combinations.anyTrouble(begins, 3 + random.nextInt(30)));
       }
     }
-    lines.addAll(meetings.jobsAlone(at, lasts));
+    lines.addAll(combinations.jobsAlone(at, lasts));
     return lines;
   }
 
   /** Names of the jobs that have to be done in the end. */
   List<String> finite() {
-    finite.addAll(meetings.finite());
+    finite.addAll(combinations.finite());
     return finite;
   }
 
@@ -148,7 +148,7 @@
     int lasts = Math.max(1, Math.min(drawn, OVER - at));
     String node = random.nextBoolean() ? "leading" : "node-" + random.nextInt(nodes);
     switch (kind) {
-      case MUTE_MACHINES -> add("at %d noreports %s for=%d", at, meetings.some(), lasts);
+      case MUTE_MACHINES -> add("at %d noreports %s for=%d", at, combinations.some(), lasts);
       case RUSH -> rush(at + random.nextDouble(), Math.min(lasts, 1 + random.nextInt(14)));
       case RUSH_AS_REFUSED -> rushAsRefused(at);
       case RUSH_AT_THE_LIMIT -> rushAtTheLimit(at, lasts);
@@ -171,7 +171,9 @@
         for (int i = 0; i < 2 + random.nextInt(2); i++) {
           add(
               "at %.1f %s %s",
-              at + random.nextDouble() * 3, random.nextBoolean() ? "die" : "take", meetings.host());
+              at + random.nextDouble() * 3,
+              random.nextBoolean() ? "die" : "take",
+              combinations.host());
         }
       }
       case STREAM -> stream(at, lasts);
@@ -211,7 +213,7 @@
   private void rushAtTheLimit(int at, int lasts) {
     for (int i = 0; i < 3; i++) {
       String hold = random.nextBoolean() ? "hold" : "";
-      add("at %d cut nodes %s for=%d %s", at, meetings.host(), lasts, hold);
+      add("at %d cut nodes %s for=%d %s", at, combinations.host(), lasts, hold);
     }
     add("at %d cancelnow 4 class=spare hang=%d", at, 1 + random.nextInt(12));
     int changes = 1 + random.nextInt(3);
@@ -232,7 +234,7 @@
 
   /** Old reports reach the next leader first, while it may hear nothing newer of these machines. */
   private void keptReports(int at, int lasts) {
-    String some = meetings.some();
+    String some = combinations.some();
     add(
         "at %d latereports %s for=%d fornext share=%s %s",
         at, some, lasts, share(), random.nextBoolean() ? "acted" : "");
--- a/src/test/java/org/oakwalk/core/job/UserDeskTest.java
+++ b/src/test/java/org/oakwalk/core/job/UserRequestHandlerTest.java
@@ -29,7 +29,7 @@
 import org.oakwalk.core.store.StoredValue;
 
 /** What users are told by one node, against a store that loses answers or is late. */
-class UserDeskTest {
+class UserRequestHandlerTest {
   private static final JobId JOB = new JobId("j-1");
   private static final UserRequest QUERY = new UserRequest.Query(JOB);
   private static final UserRequest WITHDRAW = new UserRequest.Withdraw(JOB);
@@ -45,7 +45,8 @@
       Map.of(
           "crew", new Settings.Team("crew", 0, 0, 0, 0),
           "small", new Settings.Team("small", 4, 8, 0, 2));
-  private final UserDesk desk = new UserDesk(outbox, view, teams, new Admission(teams, view, 1000));
+  private final UserRequestHandler userRequests =
+      new UserRequestHandler(outbox, view, teams, new Admission(teams, view, 1000));
   private final List<JobRecord.Phase> seen = new ArrayList<>();
   private LateStore.Fate fate = LateStore.Fate.SERVED;
   private Moment now = new Moment(1000);
@@ -62,7 +63,7 @@
             seen.add(job.phase());
           }
         });
-    desk.types(
+    userRequests.types(
         Map.of(
             "m", type("m", new Room(4, 0, 16), "a", "b"),
             "g", type("g", new Room(8, 2, 32), "b")));
@@ -78,9 +79,9 @@
   private Response ask(UserRequest request) {
     now = now.plus(Span.seconds(1));
     view.clock(now);
-    desk.clock(now, new WallTime(0));
+    userRequests.clock(now, new WallTime(0));
     List<Response> answers = new ArrayList<>();
-    desk.serve(request, answers::add);
+    userRequests.serve(request, answers::add);
     store.serve(outbox, commit -> fate);
     for (int i = 0; i < 10 && answers.isEmpty(); i++) {
       now = now.plus(Span.millis(100));
@@ -215,7 +216,7 @@
 
   @Test
   void withoutMachineTypesDecidesOnlyWhatNeedsNone() {
-    desk.types(Map.of());
+    userRequests.types(Map.of());
     assertThat(code(ask(plain()))).isEqualTo(503);
     assertThat(code(ask(MALFORMED))).isEqualTo(400);
     assertThat(code(ask(submit(spec("array", 1, 1, 0, 1, "nobody", "any"))))).isEqualTo(422);
@@ -305,11 +306,11 @@
     assertThat(state(ask(QUERY))).isEqualTo(Response.JobState.QUEUED);
     seen.clear();
     Response answer = new Response.JobStatus(false, JOB, told, 0, 0);
-    assertThat(desk.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
+    assertThat(userRequests.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
     assertThat(seen).containsExactly(phase);
     // Final now, so it is told without a read, and nothing older is passed on any more.
     Response older = new Response.JobStatus(false, JOB, Response.JobState.RUNNING, 0, 1);
-    assertThat(state(desk.passOn(older, UNAVAILABLE))).isEqualTo(told);
+    assertThat(state(userRequests.passOn(older, UNAVAILABLE))).isEqualTo(told);
     assertThat(state(ask(QUERY))).isEqualTo(told);
   }
 
@@ -319,7 +320,7 @@
   void aForwardedEndCountsForAJobThatTheCopyShowsLater(
       Response.JobState told, JobRecord.Phase phase) {
     Response answer = new Response.JobStatus(false, JOB, told, 0, 0);
-    assertThat(desk.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
+    assertThat(userRequests.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
     Arrays.store(store, JOB.value(), 2, JobRecord.Phase.OPEN);
     assertThat(state(ask(QUERY))).isEqualTo(told);
     Arrays.store(store, JOB.value(), 2, phase);
@@ -334,10 +335,10 @@
     for (int i = 0; i < StoreView.MOST_LEARNED_ENDS; i++) {
       JobId job = new JobId("j-" + (100 + i));
       Response answer = new Response.JobStatus(false, job, Response.JobState.CANCELLED, 0, 0);
-      assertThat(desk.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
+      assertThat(userRequests.passOn(answer, UNAVAILABLE)).isEqualTo(answer);
     }
     Response last = new Response.JobStatus(false, JOB, Response.JobState.CANCELLED, 0, 0);
-    assertThat(desk.passOn(last, UNAVAILABLE)).isEqualTo(UNAVAILABLE);
+    assertThat(userRequests.passOn(last, UNAVAILABLE)).isEqualTo(UNAVAILABLE);
   }
 
   /** What this node has told its own user, its leader must know: it may order no start after it. */
@@ -346,10 +347,10 @@
     assertThat(code(ask(plain()))).isEqualTo(201);
     assertThat(state(ask(QUERY))).isEqualTo(Response.JobState.QUEUED);
     now = now.plus(Span.seconds(1));
-    desk.clock(now, new WallTime(0));
+    userRequests.clock(now, new WallTime(0));
     seen.clear();
     List<JobRecord.Phase> before = new ArrayList<>();
-    desk.serve(WITHDRAW, answer -> before.addAll(seen));
+    userRequests.serve(WITHDRAW, answer -> before.addAll(seen));
     store.serve(outbox, commit -> fate);
     assertThat(before).containsExactly(JobRecord.Phase.WITHDRAWN);
   }
--- a/src/test/java/org/oakwalk/core/placement/PreemptionTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PreemptionTest.java
@@ -54,7 +54,7 @@
             new Quota(Map.of(), fleet),
             new Targets(List.of()),
             new RunTimes(),
-            new Turnout(),
+            new ServedShares(),
             Reserve.NONE,
             Takes.NONE);
     Job asking = HostSearchTest.job(machines, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
@@ -84,7 +84,7 @@
             new Quota(Map.of(), fleet),
             new Targets(List.of()),
             new RunTimes(),
-            new Turnout(),
+            new ServedShares(),
             Reserve.NONE,
             Takes.NONE);
     preemption.begin();
