--- a/src/test/java/org/oakwalk/scenario/LargeFleetTest.java
+++ b/src/test/java/org/oakwalk/scenario/LargeFleetTest.java
@@ -99,12 +99,7 @@
       text.append(Sweeps.line("machine m %s %d", zone, machines / 2));
       text.append(Sweeps.line("capacity m %s %d", zone, machines / 4));
     }
-    for (int job = 0; job < machines / 10; job++) {
-      text.append(
-          Sweeps.line(
-              "at %.3f submit j-%d service tasks=5 cpus=2 priority=high class=front image=s%d gb=1",
-              3 + job * 20.0 / machines, 100_000 + job, job % 8));
-    }
+    text.append(Sweeps.services(machines));
     text.append(
         Sweeps.line(
             "every %.4f 8 90 1000 array tasks=16 run=30 guess=30 class=batch image=b gb=1",
--- a/src/test/java/org/oakwalk/scenario/Sweeps.java
+++ b/src/test/java/org/oakwalk/scenario/Sweeps.java
@@ -15,6 +15,18 @@
     return String.format(Locale.ROOT, form, values) + "\n";
   }
 
+  /** Services that come within 2 s, a replica of two cpus for each second machine. */
+  static String services(int machines) {
+    StringBuilder text = new StringBuilder();
+    for (int job = 0; job < machines / 10; job++) {
+      text.append(
+          line(
+              "at %.3f submit j-%d service tasks=5 cpus=2 priority=high class=front image=s%d gb=1",
+              3 + job * 20.0 / machines, 100_000 + job, job % 8));
+    }
+    return text.toString();
+  }
+
   /** Plays a scenario that has to hold; its text stands in the failure. */
   static void play(String text) {
     Outcome outcome;
