--- a/src/main/java/org/oakwalk/core/capacity/Capacity.java
+++ b/src/main/java/org/oakwalk/core/capacity/Capacity.java
@@ -323,6 +323,7 @@
     int lacking = Math.max(0, (int) Math.ceil(need.ordinary()) - ordinary);
     int missing = wanted - ordinary - spot;
     if (lacking > 0) {
+      // Only then: where none lacks, a surplus has to stay one, or nothing is ever returned.
       missing = Math.max(missing, lacking);
     }
     enoughByType.put(type.name(), wanted - (int) Math.max(0, (wanted - need.total()) / 2));
--- a/src/main/java/org/oakwalk/core/placement/Largest.java
+++ b/src/main/java/org/oakwalk/core/placement/Largest.java
@@ -80,10 +80,6 @@
     Part(Job job) {
       this.job = job;
     }
-
-    int started() {
-      return job.doneCount() + job.activeCount();
-    }
   }
 
   /** A team's jobs of one class. */
@@ -162,7 +158,7 @@
     }
     if (part.large) {
       Account account = accounts.computeIfAbsent(ServedShares.Key.of(job), key -> new Account());
-      int served = counts ? job.doneCount() + job.activeCount() : 0;
+      int served = counts ? started(job) : 0;
       account.served += served - part.served;
       part.served = served;
       if (counts && job.pendingCount() > 0) {
@@ -245,7 +241,9 @@
       if (tooLate && late >= MOST_A_ROUND / 2) {
         continue;
       }
-      if (part.started() == 0 ? first : rest && !hasBegun(part) && !planned(part.job, wall)) {
+      if (started(part.job) == 0
+          ? first
+          : rest && !hasBegun(part.job) && !planned(part.job, wall)) {
         favours.put(part.job, (tooLate ? 1 : grown(age)) * guaranteeBonus);
         oneTaskOnly.add(part.job);
       } else if (all) {
@@ -259,9 +257,14 @@
   }
 
   /** Whether as many of its tasks have begun as can run at once. */
-  private boolean hasBegun(Part part) {
-    JobSpec spec = part.job.spec();
-    return part.started() >= Math.min(spec.tasks(), atOnce.applyAsInt(spec));
+  private boolean hasBegun(Job job) {
+    JobSpec spec = job.spec();
+    return started(job) >= Math.min(spec.tasks(), atOnce.applyAsInt(spec));
+  }
+
+  /** How many tasks of a job are done or on machines. */
+  private static int started(Job job) {
+    return job.doneCount() + job.activeCount();
   }
 
   /** Whether a plan says when its tasks start; what else would start now may break its promises. */
@@ -305,7 +308,7 @@
   void placed(Job job, int tasks) {
     placed += tasks;
     if (oneTaskOnly.contains(job)) {
-      if (job.doneCount() + job.activeCount() > tasks) {
+      if (started(job) > tasks) {
         placedRest += tasks;
       } else {
         placedFirst += tasks;
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -59,12 +59,7 @@
     if (team == null) {
       return 0;
     }
-    Room limit =
-        new Room(
-            team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax(),
-            team.gpusMax() <= 0 ? Double.MAX_VALUE : team.gpusMax(),
-            Double.MAX_VALUE);
-    return limit.count(spec.room());
+    return left(team, Room.NONE).count(spec.room());
   }
 
   /** Keeps what is free of their teams' limits for these gangs from now on, and for no others. */
@@ -89,7 +84,11 @@
       // The settings name it no more; what it has waits.
       return Room.NONE;
     }
-    Room use = fleet.use(name).plus(fleet.roomInDoubt());
+    return left(team, fleet.use(name).plus(fleet.roomInDoubt()));
+  }
+
+  /** What a team's limit leaves beside this use; a limit of zero is none. */
+  private static Room left(Settings.Team team, Room use) {
     return new Room(
         team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax() - use.cpus(),
         team.gpusMax() <= 0 ? Double.MAX_VALUE : team.gpusMax() - use.gpus(),
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -247,7 +246,7 @@
 
   /** What the core makes of an event; its log lines name the controller and the simulated time. */
   private List<Effect> decide(Event event) {
-    MDC.put(LOG_CONTEXT, String.format(Locale.ROOT, " [%.2f s %s]", world.time.seconds(), id));
+    MDC.put(LOG_CONTEXT, " [" + world.time.seconds() + " s " + id + "]");
     try {
       return controller.handle(event, new Moment(world.time.now()), world.wall());
     } finally {
