--- a/review/1/LateCommand.java
+++ b/review/2/LateCommand.java
@@ -2,7 +2,7 @@
 import java.nio.file.Path;
 
 /**
- * Case 1: a start command is held up for five seconds. Its task is stopped later for a service,
+ * Case 2: a start command is held up for five seconds. Its task is stopped later for a service,
  * which then leaves. The task's job, and every later one, must start on the idle machine.
  */
 final class LateCommand {
@@ -22,7 +22,7 @@
   public static void main(String[] arguments) throws Exception {
     Cloud.Terms terms = new Cloud.Terms();
     terms.capacity = 3;
-    Deployment deployment = new Deployment(Path.of(arguments[0]), terms, 3);
+    Deployment deployment = new Deployment(Deployment.Site.RECEPTNIK, Path.of(arguments[0]), terms, 3);
     World world = deployment.world;
     Users users = deployment.users;
     deployment.start();
--- a/review/3/MistakenJob.java
+++ b/review/3/MistakenJob.java
@@ -24,7 +24,7 @@
   public static void main(String[] arguments) throws Exception {
     Cloud.Terms terms = new Cloud.Terms();
     terms.capacity = 6;
-    Deployment deployment = new Deployment(Path.of(arguments[0]), terms, 4);
+    Deployment deployment = new Deployment(Deployment.Site.RECEPTNIK, Path.of(arguments[0]), terms, 4);
     deployment.controllers.restartDelayMs = RESTART_MS;
     Users users = deployment.users;
     deployment.start();
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -26,63 +26,124 @@
   private final Path folder;
 
   /**
-   * Prepares a deployment with the settings of receptnik-ljubljana, and with this cloud.
+   * Prepares a deployment.
    *
    * @param caseFolder the folder of the case, below {@code review/} in the repository
    */
-  Deployment(Path caseFolder, Cloud.Terms terms, int machinesAtStart) throws IOException {
+  Deployment(Site site, Path caseFolder, Cloud.Terms terms, int machinesAtStart)
+      throws IOException {
     Path repository = caseFolder.toAbsolutePath().getParent().getParent();
     record = new Record(caseFolder.resolve("record.txt"));
     record.line("TROUBLE=%d", trouble ? 1 : 0);
     folder = Files.createTempDirectory("oakwalk-review");
     controllers = new Controllers(repository, folder, CONTROLLERS, record);
     world = new World(controllers.addresses(), controllers.names(), 300, record);
-    state = new StateService(CONTROLLERS, 80, 15, record);
-    cloud = new Cloud(terms, new Worker.Timing(3, 20, 45), world, record);
+    state = new StateService(CONTROLLERS, site.rps, site.writeRps, record);
+    terms.zone = site.zone;
+    terms.listLagMs = site.listLagS * 1000L;
+    cloud = new Cloud(terms, site.timing, world, record);
     cloud.startWith(machinesAtStart);
     users = new Users(world, record);
     for (int i = 0; i < CONTROLLERS; i++) {
-      controllers.configure(i, terms.zone, state, cloud, facts(terms.zone));
+      controllers.configure(i, site.zone, state, cloud, site.facts());
     }
   }
 
-  private static String facts(String zone) {
-    return """
-        [facts]
-        initial_size = 3
-        zones = ["%s"]
-        clock_off_ms = 250.0
-
-        [[facts.teams]]
-        name = "urednistvo"
-        cpus = 0.0
-        cpus_max = 0.0
-        gpus = 0.0
-        gpus_max = 0.0
-
-        [facts.workers]
-        report_s = 3.0
-        lease_s = 20.0
-        gang_wait_s = 45.0
-        gang_peer_s = 6.0
-        cancel_s = 45.0
-
-        [facts.state]
-        rps = 80.0
-        write_rps = 15.0
-        value_kb = 4.0
-        txn_ops = 8
-
-        [facts.cloud]
-        rps = 4.0
-        list_lag_s = 6.0
-
-        [facts.quota]
-        cores = 0.44
-        ram_mb = 205.0
-        fd_limit = 1200
-        """
-        .formatted(zone);
+  /** The settings of a deployment that matter here, from its site file. */
+  enum Site {
+    RECEPTNIK("urednistvo", "savinja", 0, 0, 3, 20, 45, 80, 15, 4, 8, 6, 1200),
+    BOYAS("datos-costa", "pacifico-norte", 88, 232, 1.5, 10, 40, 250, 100, 32, 32, 8, 700);
+
+    final String team;
+    final String zone;
+    final double cpus;
+    final double cpusMax;
+    final Worker.Timing timing;
+    final int rps;
+    final int writeRps;
+    final int valueKb;
+    final int txnOps;
+    final int listLagS;
+    final int fdLimit;
+
+    Site(
+        String team,
+        String zone,
+        double cpus,
+        double cpusMax,
+        double reportS,
+        double leaseS,
+        double cancelS,
+        int rps,
+        int writeRps,
+        int valueKb,
+        int txnOps,
+        int listLagS,
+        int fdLimit) {
+      this.team = team;
+      this.zone = zone;
+      this.cpus = cpus;
+      this.cpusMax = cpusMax;
+      this.timing = new Worker.Timing(reportS, leaseS, cancelS);
+      this.rps = rps;
+      this.writeRps = writeRps;
+      this.valueKb = valueKb;
+      this.txnOps = txnOps;
+      this.listLagS = listLagS;
+      this.fdLimit = fdLimit;
+    }
+
+    private String facts() {
+      return """
+          [facts]
+          initial_size = 3
+          zones = ["%s"]
+          clock_off_ms = 250.0
+
+          [[facts.teams]]
+          name = "%s"
+          cpus = %s
+          cpus_max = %s
+          gpus = 0.0
+          gpus_max = 0.0
+
+          [facts.workers]
+          report_s = %s
+          lease_s = %s
+          gang_wait_s = 45.0
+          gang_peer_s = 6.0
+          cancel_s = %s
+
+          [facts.state]
+          rps = %d.0
+          write_rps = %d.0
+          value_kb = %d.0
+          txn_ops = %d
+
+          [facts.cloud]
+          rps = 4.0
+          list_lag_s = %d.0
+
+          [facts.quota]
+          cores = 0.44
+          ram_mb = 205.0
+          fd_limit = %d
+          """
+          .formatted(
+              zone,
+              team,
+              cpus,
+              cpusMax,
+              timing.reportS(),
+              timing.leaseS(),
+              timing.cancelS(),
+              rps,
+              writeRps,
+              valueKb,
+              txnOps,
+              listLagS,
+              fdLimit);
+    }
   }
 
   /** Starts all controllers; ends the run if they don't become ready. */
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -213,6 +213,12 @@
               world.entered(host, task.piece, task.attempt);
             }
             changed = true;
+          } else if (task.state == State.RUNNING
+              && now >= task.changesAt
+              && task.job.shape().equals("sweep")
+              && world.isMistaken(task.piece.substring(0, task.piece.indexOf('/')))) {
+            leave(task, "error");
+            task.cause = "error";
           } else if (task.state == State.RUNNING
               && now >= task.changesAt
               && task.job.shape().equals("sweep")) {
--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -1,7 +1,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What all stand-ins share: the jobs that users have uploaded, the controllers' addresses, and what
@@ -12,6 +14,7 @@
   record Job(String shape, double cpus, double memoryGb, double runS) {}
 
   private final Map<String, Job> jobs = new HashMap<>();
+  private final Set<String> mistaken = new HashSet<>();
   private final Map<String, String> runningOn = new HashMap<>();
   private final Map<String, Integer> starts = new HashMap<>();
   private final Map<String, Integer> completed = new HashMap<>();
@@ -44,6 +47,15 @@
     jobs.put(ref, job);
   }
 
+  /** Marks a job as submitted with a mistake: its tasks fail on every machine. */
+  synchronized void mistaken(String ref) {
+    mistaken.add(ref);
+  }
+
+  synchronized boolean isMistaken(String ref) {
+    return mistaken.contains(ref);
+  }
+
   synchronized Job job(String ref) {
     return jobs.get(ref);
   }
