--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -154,6 +154,9 @@
     if (!controllers.awaitReady(20)) {
       cannotRun("the controllers were not ready within 20 s");
     }
+    if (!controllers.endedAlone().isEmpty()) {
+      cannotRun("a controller did not start, a port may have been taken meanwhile");
+    }
   }
 
   /** A condition that a case waits for. */
