One lost start command no longer closes a machine: its token is raised at once

Cause: a start by command without an answer stays pending until the session ends or the machine shows a higher token, and until then the machine refuses its task.

Change: a start by command that was given up makes the next answer raise the machine's token (Fleet.raiseTokenIfDue); the report that shows it voids the command. The rule that a pending start is never cleared stays, so nothing rests on a worker's refusal of a late copy.

--- a/src/main/java/org/oakwalk/cli/ExperimentCommand.java
+++ b/src/main/java/org/oakwalk/cli/ExperimentCommand.java
@@ -66,6 +66,13 @@
       description = "With --draw: generates overlapping faults while users cancel jobs.")
   private boolean meetings;
 
+  @Option(
+      names = "--late-commands",
+      description =
+          "With --draw: adds commands that arrive late to overlapping faults, in a fleet that"
+              + " can't grow.")
+  private boolean lateCommands;
+
   @Option(
       names = "--hunts",
       description =
@@ -109,6 +116,7 @@
         faults = products ? faults.withProductTerms() : faults;
         faults = meetings ? faults.withOverlappingFaults() : faults;
         faults = hunts ? faults.withEdgeCaseFaults() : faults;
+        faults = lateCommands ? faults.withLateCommands() : faults;
         passed &= runScenario("seed " + drawnSeed, faults.text());
       }
     }
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -484,14 +484,18 @@
   }
 
   /**
-   * Raises the token that a machine is addressed with once it has to list many ended attempts or
-   * approaches the limit on starts by command. When it reports the new token, it rejects all starts
-   * that were sent by command before, so ended attempts may be cleared. The token is not raised
-   * while a command is in flight, since the response could overtake the command.
+   * Raises the token that a machine is addressed with once a command with a start was lost, or once
+   * the machine has to list many ended attempts or approaches the limit on starts by command. When
+   * it reports the new token, it rejects all starts that were sent by command before, so ended
+   * attempts may be cleared. A lost command must not wait for the other conditions: as long as it
+   * may arrive, its task can't start on the machine again. The token is not raised while a command
+   * is in flight, since the response could overtake the command.
    */
   private void raiseTokenIfDue(Machine machine) {
     boolean due =
-        machine.pendingStarts().repeatableCount() >= PendingStarts.MAX_COMMAND_STARTED_TASKS / 2
+        machine.pendingStarts().anyCommandUnanswered()
+            || machine.pendingStarts().repeatableCount()
+                >= PendingStarts.MAX_COMMAND_STARTED_TASKS / 2
             || machine.repeatableEndedCount() >= MAX_KEPT_ENDED_ATTEMPTS;
     Token highest = view.latestTokenOf(token);
     if (due && !machine.commandInFlight() && machine.fence().canRaiseTo(highest)) {
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -475,6 +475,18 @@
         && !(pendingStarts.mayRepeat(task) && !pendingStarts.containsAny(task));
   }
 
+  /** What is known of earlier attempts at this task here; for the log. */
+  public String startStatus(TaskId task) {
+    return "ended attempt listed "
+        + unmatched.hasEnded(task)
+        + ", start in a response pending "
+        + pendingStarts.responsePending(task)
+        + ", start by command unanswered "
+        + pendingStarts.commandUnanswered(task)
+        + ", duplicate possible "
+        + pendingStarts.mayRepeat(task);
+  }
+
   /** Whether the limit on starts by command under its current token is reached. */
   public boolean commandStartLimitReached() {
     return pendingStarts.full();
--- a/src/main/java/org/oakwalk/core/fleet/PendingStarts.java
+++ b/src/main/java/org/oakwalk/core/fleet/PendingStarts.java
@@ -73,6 +73,11 @@
             open.count() > 1 ? new UnansweredCommands(open.count() - 1, open.token()) : null);
   }
 
+  /** Whether any command with a start was sent and has not been answered. */
+  boolean anyCommandUnanswered() {
+    return !unansweredCommands.isEmpty();
+  }
+
   /** Whether a command with this start was sent and has not been answered. */
   boolean commandUnanswered(Machine.TaskAttempt attempt) {
     return unansweredCommands.containsKey(attempt);
@@ -100,8 +105,17 @@
 
   /** Whether a start of any attempt at this task may still be executed for the first time. */
   boolean containsAny(TaskId task) {
-    return inResponse.stream().anyMatch(attempt -> attempt.task().equals(task))
-        || unansweredCommands.keySet().stream().anyMatch(attempt -> attempt.task().equals(task));
+    return responsePending(task) || commandUnanswered(task);
+  }
+
+  /** Whether the last response starts an attempt at this task and may still be executed. */
+  boolean responsePending(TaskId task) {
+    return inResponse.stream().anyMatch(attempt -> attempt.task().equals(task));
+  }
+
+  /** Whether a command that starts an attempt at this task was sent and has not been answered. */
+  boolean commandUnanswered(TaskId task) {
+    return unansweredCommands.keySet().stream().anyMatch(attempt -> attempt.task().equals(task));
   }
 
   boolean contains(Machine.TaskAttempt attempt) {
--- a/src/main/java/org/oakwalk/model/DelayInjector.java
+++ b/src/main/java/org/oakwalk/model/DelayInjector.java
@@ -10,8 +10,8 @@
 import org.oakwalk.core.store.Change;
 
 /**
- * Injects delays into transactions and late duplicates into worker reports. Random draws come from
- * a generator with a fixed seed, so that a scenario always runs the same way.
+ * Injects delays into transactions and commands, and late duplicates into worker reports. Random
+ * draws come from a generator with a fixed seed, so that a scenario always runs the same way.
  */
 final class DelayInjector {
   /** Shortest drawn delay. */
@@ -20,6 +20,9 @@
   /** Longest delay of a transaction that gets no answer, unless the scenario sets it. */
   static final double MAX_WRITE_DELAY_SECONDS = 12;
 
+  /** Longest delay of a command that gets no answer, unless the scenario sets it. */
+  static final double MAX_COMMAND_DELAY_SECONDS = 16;
+
   /** Longest delay of a duplicate report, in lease durations, unless the scenario sets it. */
   static final double MAX_REPORT_DELAY_LEASES = 1.6;
 
@@ -35,6 +38,7 @@
   private final UniformRandomProvider random;
   private final List<DelayFault> writeFaults = new ArrayList<>();
   private final List<DelayFault> reportFaults = new ArrayList<>();
+  private final List<DelayFault> commandFaults = new ArrayList<>();
 
   DelayInjector(Timeline time, double leaseSeconds, long seed) {
     this.time = time;
@@ -52,6 +56,11 @@
     reportFaults.add(parse(machines, line));
   }
 
+  /** Delays commands to these machines from now on, as the scenario line says. */
+  void delayCommands(Predicate<String> machines, ScenarioLine line) {
+    commandFaults.add(parse(machines, line));
+  }
+
   private DelayFault parse(Predicate<String> hosts, ScenarioLine line) {
     return new DelayFault(
         hosts,
@@ -91,6 +100,14 @@
     return drawDelay(reportFaults, machine, maxReportDelaySeconds, prefix -> true);
   }
 
+  /**
+   * Returns the delay in milliseconds after which a command to a machine is carried out, without an
+   * answer; empty if it is not delayed.
+   */
+  OptionalLong commandDelay(String machine) {
+    return drawDelay(commandFaults, machine, MAX_COMMAND_DELAY_SECONDS, prefix -> true);
+  }
+
   private OptionalLong drawDelay(
       List<DelayFault> faults,
       String host,
--- a/src/main/java/org/oakwalk/model/FaultSchedule.java
+++ b/src/main/java/org/oakwalk/model/FaultSchedule.java
@@ -39,6 +39,8 @@
       case "cancelatend", "oddrequests" -> line.number("for", 10);
       case "laterentals" -> line.number("for", 10) + line.number("after", 0);
       case "copies" -> line.number("for", 10) + line.number("after", 90);
+      case "latecommands" ->
+          line.number("for", 10) + line.number("after", DelayInjector.MAX_COMMAND_DELAY_SECONDS);
       case "latewrites" ->
           line.number("for", 10)
               + (line.hasWord("atonce")
--- a/src/main/java/org/oakwalk/model/MessageFaultActions.java
+++ b/src/main/java/org/oakwalk/model/MessageFaultActions.java
@@ -52,6 +52,8 @@
           world.delayInjector.repeatReports(hostSelector.group(line.word(3)), line);
         }
       }
+      case "latecommands" ->
+          world.delayInjector.delayCommands(hostSelector.group(line.word(3)), line);
       case "laterentals" -> world.cloud.delayRentals(seconds, line.number("after", 0));
       case "quickboots" -> world.cloud.setQuickBoots(line.number(3));
       case "noreports" -> world.reportLoss.start(hostSelector.group(line.word(3)), seconds);
--- a/src/main/java/org/oakwalk/model/ScenarioGenerator.java
+++ b/src/main/java/org/oakwalk/model/ScenarioGenerator.java
@@ -35,6 +35,7 @@
   private boolean productTerms;
   private boolean overlappingFaults;
   private boolean edgeCaseFaults;
+  private boolean lateCommands;
 
   /** Creates a generator. The same seed and options always give the same scenario. */
   public ScenarioGenerator(int seed) {
@@ -75,6 +76,36 @@
     return this;
   }
 
+  /**
+   * Adds commands that are carried out late and never answered, to overlapping faults in a fleet
+   * that can't grow, where services come that stop other work, and leave again.
+   */
+  public ScenarioGenerator withLateCommands() {
+    lateCommands = true;
+    return withOverlappingFaults();
+  }
+
+  private void addLateCommands() {
+    int faults = 1 + random.nextInt(3);
+    for (int i = 0; i < faults; i++) {
+      addLine(
+          "at %d latecommands %s for=%d share=%.1f",
+          4 + random.nextInt(60),
+          random.nextBoolean()
+              ? "workers"
+              : String.format(Locale.ROOT, "host-%06d", random.nextInt(totalMachines())),
+          2 + random.nextInt(18),
+          0.2 + 0.2 * random.nextInt(5));
+    }
+    for (int i = 0; i < 3; i++) {
+      int at = 8 + random.nextInt(70);
+      addLine(
+          "at %d submit j-4%d service tasks=%d cpus=%d priority=production",
+          at, i, 1 + random.nextInt(machinesPerZone), 2 + random.nextInt(3));
+      addLine("at %d cancel j-4%d", at + 4 + random.nextInt(12), i);
+    }
+  }
+
   private void addProductTerms() {
     addLine("dawn night every=600 lasts=600 classes=night margin=30");
     addLine("exchange swap takers=service givers=night,array dwell=5 patience=30");
@@ -169,6 +200,9 @@
         addFault();
       }
     }
+    if (lateCommands) {
+      addLateCommands();
+    }
     addLine("at %d restart down", LAST_FAULT_END_SECONDS);
     addLine("at %d cancel j-8", LAST_FAULT_END_SECONDS + 2);
     addLine("at %d submit j-9 array tasks=4 run=3", LAST_FAULT_END_SECONDS + 5);
@@ -196,7 +230,7 @@
   }
 
   private void addZone(String zone) {
-    addLine("capacity m %s 12 spot=4", zone);
+    addLine(lateCommands ? "capacity m %s 0" : "capacity m %s 12 spot=4", zone);
     addLine("machine m %s %d", zone, machinesPerZone);
     if (accelerators) {
       addLine("capacity g %s 5", zone);
--- a/src/main/java/org/oakwalk/model/SimNode.java
+++ b/src/main/java/org/oakwalk/model/SimNode.java
@@ -312,15 +312,7 @@
     } else if (request instanceof Request.Command command) {
       world.time.after(
           REQUEST_TIMEOUT_MILLIS, () -> then.accept(new Answer.OutcomeUnknown("timeout")));
-      Consumer<Answer> reply = replyVia(command.address(), then);
-      world.network.send(
-          id.value(),
-          command.address(),
-          () -> world.workerAt(command.address()).ifPresent(w -> w.receiveCommand(command, reply)),
-          includeStarts ->
-              world
-                  .workerAt(command.address())
-                  .ifPresent(w -> w.receiveDuplicateCommand(command, includeStarts)));
+      sendCommand(command, then);
     } else if (request instanceof Request.SendToPeer tell) {
       world.time.after(
           STATE_TIMEOUT_MILLIS, () -> then.accept(new Answer.OutcomeUnknown("timeout")));
@@ -340,6 +332,29 @@
     }
   }
 
+  /** Sends a command to its worker; one that is delayed is carried out late and not answered. */
+  private void sendCommand(Request.Command command, Consumer<Answer> then) {
+    OptionalLong delay = world.delayInjector.commandDelay(command.address());
+    if (delay.isPresent()) {
+      world.time.after(
+          delay.getAsLong(),
+          () ->
+              world
+                  .workerAt(command.address())
+                  .ifPresent(worker -> worker.receiveCommand(command, answer -> {})));
+      return;
+    }
+    Consumer<Answer> reply = replyVia(command.address(), then);
+    world.network.send(
+        id.value(),
+        command.address(),
+        () -> world.workerAt(command.address()).ifPresent(w -> w.receiveCommand(command, reply)),
+        includeStarts ->
+            world
+                .workerAt(command.address())
+                .ifPresent(w -> w.receiveDuplicateCommand(command, includeStarts)));
+  }
+
   /** Sends a start command that the controller did not decide on, to test the rule checks. */
   void sendUndecidedStart(TaskId task, SimWorker worker) {
     List<Order> orders = List.of(new Order.Run(task, new Attempt(Long.MAX_VALUE >> 1)));
--- a/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
+++ b/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
@@ -19,6 +19,7 @@
   private static final int FAULT_SEEDS = 80;
   private static final int OVERLAP_SEEDS = 120;
   private static final int EDGE_CASE_SEEDS = 120;
+  private static final int LATE_COMMAND_SEEDS = 60;
 
   @TestFactory
   List<DynamicTest> faults() {
@@ -98,6 +99,18 @@
     return seed > EDGE_CASE_SEEDS - 20 ? generator.withRollingReplacement() : generator;
   }
 
+  /** Commands that arrive late and get no answer, in fleets that can't grow. */
+  @TestFactory
+  List<DynamicTest> lateCommands() {
+    return IntStream.rangeClosed(1, LATE_COMMAND_SEEDS)
+        .mapToObj(
+            seed ->
+                DynamicTest.dynamicTest(
+                    "seed " + seed,
+                    () -> assertPasses(seed, new ScenarioGenerator(seed).withLateCommands())))
+        .toList();
+  }
+
   private static void assertPasses(int seed, ScenarioGenerator generator) {
     String text = generator.text();
     try {
