A refused task no longer ends the search for its job's other tasks

Cause: Placer.place took the first task without a machine for the end of the job's turn, although machines with room refused only this task.

Change: the search goes on with the next waiting task. Each refused task is listed by some machine, so their number is bounded by the reports. A debug line names the machines and their reasons.

Test: PlacerTest.otherTasksStartWhereOneIsRefused fails before, holds after.

--- a/src/main/java/org/oakwalk/core/placement/MachineSearch.java
+++ b/src/main/java/org/oakwalk/core/placement/MachineSearch.java
@@ -1,6 +1,9 @@
 package org.oakwalk.core.placement;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import org.oakwalk.core.MachineId;
 import org.oakwalk.core.MonotonicTime;
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.TimeSpan;
@@ -96,6 +99,17 @@
     return false;
   }
 
+  /** Why the machines with room refuse a task, by machine; for the log. */
+  Map<MachineId, String> blockReasons(int index) {
+    Map<MachineId, String> reasons = new LinkedHashMap<>();
+    for (int i = 0; i < fits.length; i++) {
+      if (fits[i]) {
+        reasons.put(machines.get(i).id(), machines.get(i).startStatus(new TaskId(job.id(), index)));
+      }
+    }
+    return reasons;
+  }
+
   /** To be called when a task was placed on the machine that was found last. */
   void placedOnLastFound() {
     evaluate(lastFound);
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -21,6 +21,8 @@
 import org.oakwalk.core.job.JobRegistry;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Runs placement rounds: takes waiting tasks in the order of their scores and places each on the
@@ -35,6 +37,8 @@
    */
   private static final int MAX_MISSES_PER_CLASS = 8;
 
+  private static final Logger LOG = LoggerFactory.getLogger(Placer.class);
+
   private final Fleet fleet;
   private final Policy policy;
   private final Quota quota;
@@ -291,10 +295,18 @@
           && unplacedJobs.preemptWhereImageIs(job, zones)) {
         return JobOutcome.PREEMPTING_FOR_IMAGE;
       }
-      if (machine == null) {
-        blockedByPastAttempt = search.anyFits();
+      if (machine == null && !search.anyFits()) {
         return JobOutcome.NO_ROOM;
       }
+      if (machine == null) {
+        // The machines with room refuse this task only; the job's other tasks may start there.
+        blockedByPastAttempt = true;
+        if (LOG.isDebugEnabled()) {
+          LOG.debug("task {}/{} is blocked: {}", job.id(), index, search.blockReasons(index));
+        }
+        index = job.nextPending(index + 1, now);
+        continue;
+      }
       fleet.place(job, index, fleet.nextAttempt(), machine, runTimes.expected(spec), now);
       placed++;
       zones.merge(machine.zone(), 1, Integer::sum);
@@ -312,7 +324,7 @@
         return JobOutcome.HELD_BACK;
       }
     }
-    return JobOutcome.DONE_FOR_ROUND;
+    return blockedByPastAttempt ? JobOutcome.NO_ROOM : JobOutcome.DONE_FOR_ROUND;
   }
 
   /** The number of tasks of a job that could run at the same time if nothing else ran. */
