A reservation lapses when its machine has room and its job does not start

Cause: a reservation gathers room for a job. Nothing ended it when the room was there and the job still could not start; the log shows it made by a plan without victims while another task was being stopped.

Change: after 10 s with room for its job a reservation no longer keeps others away (CandidateMachines.holder), whatever holds the job back; it counts again once room is lacking. Gangs have a limit of their own and are left as they were.

Test: PlacerTest.reservationLapsesWhenItsJobCannotStart fails before, holds after.

--- a/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
+++ b/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
@@ -29,12 +29,20 @@
    */
   private static final double BACKFILL_MARGIN = 0.5;
 
+  /** How long a machine with enough room stays reserved for a job that does not start there. */
+  private static final TimeSpan MAX_UNUSED_RESERVATION = TimeSpan.seconds(10);
+
+  /** A machine that has had room for a task of the job it is reserved for since this time. */
+  private record UnusedReservation(Job holder, MonotonicTime since) {}
+
   private final Fleet fleet;
   private final RunTimeEstimates runTimes;
   private final TimeSpan suspectAfter;
   private final CapacityReserve reserve;
   private final Map<Machine, Job> reservations = new LinkedHashMap<>();
 
+  private final Map<Machine, UnusedReservation> unusedReservations = new HashMap<>();
+
   /** The time by which the machines reserved for a gang are expected to be free. */
   private final Map<Job, MonotonicTime> expectedStarts = new HashMap<>();
 
@@ -74,10 +82,43 @@
       reservations.keySet().retainAll(new HashSet<>(all));
       reservations.values().removeIf(job -> !job.isOpen() || job.pendingCount() <= 0);
     }
+    updateUnusedReservations();
     expectedStarts.keySet().removeIf(job -> !job.isOpen() || job.assignedCount() > 0);
     reserve.beginRound(all, reservations);
   }
 
+  private void updateUnusedReservations() {
+    unusedReservations.keySet().retainAll(reservations.keySet());
+    reservations.forEach(
+        (machine, holder) -> {
+          UnusedReservation before = unusedReservations.get(machine);
+          if (!holder.spec().resources().fitsInto(machine.free())) {
+            unusedReservations.remove(machine);
+          } else if (before == null || before.holder() != holder) {
+            unusedReservations.put(machine, new UnusedReservation(holder, roundStart));
+          }
+        });
+  }
+
+  /**
+   * The job that a machine is reserved for, or null. A reservation keeps other jobs away while room
+   * is gathered. It lapses once there has been room for long and the job still has not started, for
+   * whatever reason: otherwise the machine would stand idle for as long as the job waits. Gangs
+   * start only when all their machines have room, and have a time limit of their own.
+   */
+  private Job holder(Machine machine) {
+    Job holder = reservations.get(machine);
+    if (holder == null || holder.spec().gang()) {
+      return holder;
+    }
+    UnusedReservation unused = unusedReservations.get(machine);
+    boolean lapsed =
+        unused != null
+            && unused.holder() == holder
+            && roundStart.isPast(unused.since(), MAX_UNUSED_RESERVATION);
+    return lapsed ? null : holder;
+  }
+
   /** The number of machines of each type that accept tasks in this round. */
   Map<MachineType, Integer> machineCounts() {
     return machineCounts;
@@ -120,7 +161,7 @@
     List<Machine> candidates = new ArrayList<>();
     MonotonicTime end = roundStart.plus(runTimes.expected(spec));
     for (Machine machine : machines) {
-      Job holder = reservations.get(machine);
+      Job holder = holder(machine);
       if (spec.allows(machine.type().name(), machine.zone(), machine.spot())
           && (only == null || only.equals(machine.zone()))
           && !full.contains(machine.zone())
--- a/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
+++ b/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
@@ -14,12 +14,16 @@
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.Resources;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Handles jobs that found no room: preempts tasks of lower precedence, or reserves a machine until
  * enough room is free on it.
  */
 final class UnplacedJobHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(UnplacedJobHandler.class);
+
   private static final int MAX_PREEMPTIONS_PER_ROUND = 16;
 
   /** Bound on the reservations for jobs that are not gangs. */
@@ -213,6 +217,7 @@
     }
     if (nearest != null) {
       candidates.reservations().put(nearest, job);
+      LOG.debug("machine {} is reserved for job {}", nearest.id(), job.id());
     }
     return nearest != null;
   }
--- a/src/test/java/org/oakwalk/core/placement/PlacerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PlacerTest.java
@@ -96,6 +96,26 @@
     assertThat(job.isUnassigned(1)).isFalse();
   }
 
+  /**
+   * Guards against a machine that is reserved for a job which it refuses: the machine stood idle,
+   * and every other job, of whatever priority, was kept from it for as long as the first one
+   * waited.
+   */
+  @Test
+  void reservationLapsesWhenItsJobCannotStart() {
+    Job refused = accept("j-1", 1);
+    for (int round = 0; round < 4; round++) {
+      runRoundWithEnded("j-1");
+    }
+    Job other = accept("j-2", 1);
+    long accepted = millis;
+    while (other.isUnassigned(0) && millis - accepted < 20_000) {
+      runRoundWithEnded("j-1");
+    }
+    assertThat(refused.isUnassigned(0)).isTrue();
+    assertThat(other.isUnassigned(0)).isFalse();
+  }
+
   private MonotonicTime now() {
     return new MonotonicTime(millis);
   }
