A job that fails everywhere no longer keeps a backoff for each of 100,000 tasks

Cause: a job kept the count of failures and the time of the next attempt of each task in two maps; counts stayed until the leader changed, also of tasks that had completed.

The old maps held an entry for each of 100,000 failed tasks by construction.

--- a/src/main/java/org/oakwalk/core/job/Job.java
+++ b/src/main/java/org/oakwalk/core/job/Job.java
@@ -1,14 +1,11 @@
 package org.oakwalk.core.job;
 
 import java.util.BitSet;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.oakwalk.core.JobId;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.MonotonicTime;
 import org.oakwalk.core.Revision;
-import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.WallTime;
 
 /** The leader's state of one job: which tasks are done, assigned to a machine, or pending. */
@@ -25,9 +22,6 @@
     WITHDRAWN
   }
 
-  private static final TimeSpan MIN_BACKOFF = TimeSpan.seconds(1);
-  private static final TimeSpan MAX_BACKOFF = TimeSpan.seconds(60);
-
   private final JobSpec spec;
   private final WallTime acceptedAt;
   private final boolean inherited;
@@ -36,15 +30,13 @@
   private final BitSet storedDone = new BitSet();
   private final BitSet assigned = new BitSet();
   private final BitSet started = new BitSet();
-  private final Map<Integer, MonotonicTime> notBefore = new HashMap<>();
-  private final Map<Integer, Integer> failures = new HashMap<>();
+  private final TaskBackoff backoff = new TaskBackoff();
   private final JobFaultDetector faultDetector = new JobFaultDetector();
   private State state = State.OPEN;
   private Revision revision;
   private int doneCount;
   private int assignedCount;
   private int runningCount;
-  private int errorCount;
   private MonotonicTime waitingSince;
   private MonotonicTime dirtySince;
   private MonotonicTime earliestWithdrawalNotice;
@@ -172,8 +164,7 @@
     }
     int index = assigned.nextClearBit(from);
     while (index < spec.tasks()) {
-      MonotonicTime backoffEnd = notBefore.get(index);
-      if (backoffEnd == null || !backoffEnd.isAfter(now)) {
+      if (backoff.isOver(index, now)) {
         return index;
       }
       index = assigned.nextClearBit(index + 1);
@@ -188,7 +179,6 @@
     }
     assigned.set(index);
     assignedCount++;
-    notBefore.remove(index);
     changeListener.accept(this);
   }
 
@@ -202,16 +192,9 @@
     changeListener.accept(this);
   }
 
-  /**
-   * Delays the next attempt of a task that failed or was refused by its machine. The backoff
-   * doubles with each failure of the task, and errors all over the job raise its minimum.
-   */
+  /** Delays the next attempt of a task that failed or was refused by its machine. */
   public void backOff(int index, boolean error, MonotonicTime now) {
-    int count = failures.merge(index, 1, Integer::sum);
-    errorCount += error ? 1 : 0;
-    int shift = Math.min(6, Math.max(count - 1, error ? Math.min(5, errorCount / 8) : 0));
-    TimeSpan backoff = TimeSpan.millis(MIN_BACKOFF.millis() << shift);
-    notBefore.put(index, now.plus(backoff.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : backoff));
+    backoff.recordFailure(index, error, now);
   }
 
   /** Records that one of the job's tasks failed on the machine. */
@@ -237,6 +220,7 @@
       done.set(index);
       doneCount++;
       assigned.set(index);
+      backoff.completed(index);
       if (dirtySince == null) {
         dirtySince = now;
       }
