Tasks take slots of their machine, and rounds, responses and placements have bounds

Cause: only CPUs and memory bounded the tasks of a machine, and nothing the placements of a round or the orders of a response. Heap dumps of three leaders at their end hold 100,000 placements on four machines, 99,600 start orders of one response and the 71,000 JSON objects of its encoding.

Change: a machine has 512 task slots, as many as its reports and the responses to them hold within 64 KiB; each task takes one, listed ended ones included. They are part of Resources, so placement, gangs, preemption, exchange, headroom, drains and demand all count them. 64 are left to tasks that other resources limit, and to urgent ones. A response holds 540 orders; the rest follows. A round places 8,000 tasks, a leader 68,000 (45,000 of any size). No job is refused; tasks beyond a bound wait. ResponseComposer is taken out of Fleet.

Test fixtures say whether an amount is a task's or a machine's; no assertion changed.

--- a/src/main/java/org/oakwalk/core/LeaderTerm.java
+++ b/src/main/java/org/oakwalk/core/LeaderTerm.java
@@ -385,6 +385,7 @@
     roundDue = false;
     lastRound = now;
     int placed = placer.runRound(recovery.complete(), regular, now, wall);
+    roundDue |= placer.roundCutShort();
     if (placed > 0) {
       LOG.debug("{} tasks placed, store copy at revision {}", placed, view.position());
     }
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -86,7 +86,7 @@
         }
         if (placement.halting()) {
           if (placement.takeDueCommand()) {
-            orders.add(Fleet.haltOrder(placement));
+            orders.add(placement.haltOrder());
           }
         } else if (machine.state() == Machine.State.UP
             && mayStartByCommand(machine, placement.task())
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -23,7 +23,6 @@
 import org.oakwalk.core.job.JobRegistry;
 import org.oakwalk.core.job.Resources;
 import org.oakwalk.core.leadership.RelayExpiry;
-import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.StoreView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,17 +36,10 @@
   private static final TimeSpan LEASE_EXPIRY_MARGIN = TimeSpan.millis(500);
 
   /**
-   * Margin before the cancel deadline within which no start of a withdrawn job is sent. It covers
-   * that another controller may have told the user of the withdrawal before the task was placed
-   * here, and the time that a response to a report may take, with some reserve.
+   * Orders in one response to a report. An order takes up to 121 bytes, and the protocol limits
+   * responses to 64 KiB.
    */
-  private static final TimeSpan START_MARGIN = TimeSpan.seconds(10);
-
-  /**
-   * Ended attempts listed only because duplicates of their starts may still arrive, from which on
-   * the machine's token is raised. Each raise costs one more report.
-   */
-  private static final int MAX_KEPT_ENDED_ATTEMPTS = 16;
+  public static final int MAX_ORDERS_PER_RESPONSE = 540;
 
   /** Reasons for stopping a task. */
   public enum StopReason {
@@ -116,6 +108,7 @@
   private final Set<Machine> commandable = new LinkedHashSet<>();
   private final PreemptionIndex preemptionIndex = new PreemptionIndex();
   private final Reconciler reconciler;
+  private final ResponseComposer responses;
   private long attempts;
 
   /**
@@ -141,6 +134,7 @@
     this.timing = timing;
     this.listener = listener;
     this.reconciler = new Reconciler(this, jobs, timing, listener);
+    this.responses = new ResponseComposer(token, jobs, view, timing);
   }
 
   /** Sets the machine types that the cloud offers, by name. */
@@ -240,7 +234,7 @@
    * fits it, so that quotas err on the safe side; new tasks are not placed on the machine.
    */
   private static MachineType unboundedType(String name) {
-    Resources all = new Resources(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE);
+    Resources all = Resources.ofMachine(Double.MAX_VALUE, Double.MAX_VALUE, Double.MAX_VALUE);
     return new MachineType(name, all, 0, 0, 0, 0, TimeSpan.seconds(0), List.of());
   }
 
@@ -333,6 +327,11 @@
     return gone.contains(id);
   }
 
+  /** Number of attempts that are, or may be, on machines. */
+  public int placementCount() {
+    return byTask.size();
+  }
+
   /** All placements of a job's tasks. */
   public List<Placement> placementsOf(Job job) {
     List<Placement> found = new ArrayList<>();
@@ -399,120 +398,7 @@
   /** The orders to send in response to an unsolicited report, which renews the machine's lease. */
   public List<Order> respond(Machine machine, MonotonicTime now) {
     machine.leaseRenewedAt(now);
-    List<Order> orders = new ArrayList<>(clearOrders(machine));
-    raiseTokenIfDue(machine);
-    for (Placement placement : machine.placements()) {
-      if (placement.halting()) {
-        if (mustRepeatStart(placement, now)) {
-          orders.add(new Order.Run(placement.task(), placement.attempt()));
-          machine
-              .pendingStarts()
-              .sentInResponse(new Machine.TaskAttempt(placement.task(), placement.attempt()));
-          orders.add(new Order.Halt(placement.task(), placement.attempt(), TimeSpan.millis(0)));
-        } else {
-          orders.add(haltOrder(placement));
-        }
-      } else if (placement.state() == Placement.State.ORDERED
-          && machine.state() == Machine.State.UP) {
-        orders.add(new Order.Run(placement.task(), placement.attempt()));
-        machine
-            .pendingStarts()
-            .sentInResponse(new Machine.TaskAttempt(placement.task(), placement.attempt()));
-      }
-    }
-    for (Machine.TaskAttempt orphan : machine.unmatched().orphans()) {
-      orders.add(new Order.Halt(orphan.task(), orphan.attempt(), TimeSpan.millis(0)));
-    }
-    return orders;
-  }
-
-  /**
-   * Whether to repeat the start of a task that is to be stopped, because a command with the start
-   * was not answered. The command may be executed at any time in the session, which may last for
-   * days. So the same response tells the worker to start the attempt and to stop it: the worker
-   * then knows the attempt, and the command has no effect when it arrives. Until then the placement
-   * remains, so the task is placed nowhere else. A task of a withdrawn job must not start when its
-   * user may have been told of the withdrawal longer ago than the cancel deadline allows.
-   */
-  private boolean mustRepeatStart(Placement placement, MonotonicTime now) {
-    Machine machine = placement.machine();
-    boolean inTime =
-        placement.job().state() != Job.State.WITHDRAWN
-            || !now.isPast(placement.orderedAt(), timing.cancelDeadline().minus(START_MARGIN));
-    return placement.state() == Placement.State.ORDERED
-        && (machine.state() == Machine.State.UP || machine.state() == Machine.State.RETURNING)
-        && !machine.commandInFlight()
-        && machine.mayStillStart(new Machine.TaskAttempt(placement.task(), placement.attempt()))
-        && inTime;
-  }
-
-  static Order haltOrder(Placement placement) {
-    return new Order.Halt(placement.task(), placement.attempt(), placement.haltGrace());
-  }
-
-  /**
-   * Orders to clear ended attempts from the worker's reports. Their result is stored or not needed,
-   * and no start of them can arrive any more, not even a duplicate, which would start them again.
-   * If a duplicate may arrive, the attempt is cleared only together with the start of the task's
-   * next attempt, after which the worker rejects older ones.
-   */
-  private List<Order> clearOrders(Machine machine) {
-    List<Order> orders = new ArrayList<>();
-    machine
-        .unmatched()
-        .uncleared()
-        .forEach(
-            (attempt, done) -> {
-              boolean mayRepeat = machine.pendingStarts().mayRepeat(attempt.task());
-              if ((!mayRepeat || startsNextAttempt(machine, attempt))
-                  && (!done || isResultStoredOrObsolete(attempt.task()))
-                  && !machine.mayStillStart(attempt)) {
-                orders.add(new Order.Clear(attempt.task(), attempt.attempt()));
-              }
-            });
-    return orders;
-  }
-
-  /** Whether the response being composed starts another attempt at the task. */
-  private static boolean startsNextAttempt(Machine machine, Machine.TaskAttempt ended) {
-    Placement next = machine.placement(ended.task());
-    return next != null
-        && !next.attempt().equals(ended.attempt())
-        && next.state() == Placement.State.ORDERED
-        && !next.halting()
-        && machine.state() == Machine.State.UP;
-  }
-
-  /**
-   * Raises the token that a machine is addressed with once a command with a start was lost, or once
-   * the machine has to list many ended attempts or approaches the limit on starts by command. When
-   * it reports the new token, it rejects all starts that were sent by command before, so ended
-   * attempts may be cleared. A lost command must not wait for the other conditions: as long as it
-   * may arrive, its task can't start on the machine again. The token is not raised while a command
-   * is in flight, since the response could overtake the command.
-   */
-  private void raiseTokenIfDue(Machine machine) {
-    boolean due =
-        machine.pendingStarts().anyCommandUnanswered()
-            || machine.pendingStarts().repeatableCount()
-                >= PendingStarts.MAX_COMMAND_STARTED_TASKS / 2
-            || machine.repeatableEndedCount() >= MAX_KEPT_ENDED_ATTEMPTS;
-    Token highest = view.latestTokenOf(token);
-    if (due && !machine.commandInFlight() && machine.fence().canRaiseTo(highest)) {
-      machine.fence().raise(highest);
-      LOG.debug("raising token of machine {} to {}", machine.id(), highest);
-    }
-  }
-
-  private boolean isResultStoredOrObsolete(TaskId task) {
-    Optional<Job> job = jobs.find(task.job());
-    if (job.isPresent() && job.get().isOpen()) {
-      return job.get().isStoredDone(task.index());
-    }
-    // While the record of a job can't be read, the job may be open and need the result.
-    return view.job(task.job())
-        .map(known -> known.phase() != JobRecord.Phase.OPEN)
-        .orElse(!view.isUnreadable(task.job()));
+    return responses.compose(machine, now);
   }
 
   /**
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -18,6 +18,7 @@
 import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.Token;
 import org.oakwalk.core.job.Job;
+import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Resources;
 
 /** A machine and its placements as known to one leader. */
@@ -80,7 +81,7 @@
   private Resources used = Resources.NONE;
   private Resources cachedFree;
   private Resources cachedUsed;
-  private Resources cachedOrphanResources;
+  private Resources cachedUnmatchedResources;
   private Resources cachedReserved;
   private int replicas;
   private MonotonicTime expectedEmptyAt = new MonotonicTime(Long.MIN_VALUE / 2);
@@ -248,22 +249,34 @@
   }
 
   /**
-   * Room that is neither used nor reserved nor taken by orphans. The result is cached until one of
-   * these changes, since every search of a placement round reads it.
+   * Room that is neither used nor reserved nor taken by attempts without a placement. Ended
+   * attempts that the worker still lists take task slots. The result is cached until one of these
+   * changes, since every search of a placement round reads it.
    */
   public Resources free() {
-    Resources orphanResources = unmatched.orphanResources();
+    Resources unmatchedResources = unmatched.resources();
     if (cachedUsed != used
-        || cachedOrphanResources != orphanResources
+        || cachedUnmatchedResources != unmatchedResources
         || cachedReserved != reserved) {
       cachedUsed = used;
-      cachedOrphanResources = orphanResources;
+      cachedUnmatchedResources = unmatchedResources;
       cachedReserved = reserved;
-      cachedFree = type.resources().minus(used).minus(orphanResources).minus(reserved);
+      cachedFree = type.resources().minus(used).minus(unmatchedResources).minus(reserved);
     }
     return cachedFree;
   }
 
+  /**
+   * Task slots that are free for tasks of a job. Those that are limited by slots leave some to
+   * larger ones, unless they are urgent.
+   */
+  public int freeTaskSlots(JobSpec spec) {
+    int free = (int) free().taskSlots();
+    return free > 0 && !spec.urgent() && spec.resources().limitedByTaskSlots(type.resources())
+        ? free - Resources.TASK_SLOTS_FOR_LARGER_TASKS
+        : free;
+  }
+
   /** Reserves room for a task that is to be placed here, such as one moved from another machine. */
   public void reserve(Resources resources) {
     reserved = reserved.plus(resources);
--- a/src/main/java/org/oakwalk/core/fleet/Placement.java
+++ b/src/main/java/org/oakwalk/core/fleet/Placement.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.oakwalk.core.Attempt;
 import org.oakwalk.core.MonotonicTime;
+import org.oakwalk.core.Order;
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.job.Job;
@@ -139,6 +140,11 @@
     return haltGrace;
   }
 
+  /** The order that stops it; only after a stop was requested. */
+  Order haltOrder() {
+    return new Order.Halt(task, attempt, haltGrace);
+  }
+
   /** Requests a stop; a shorter grace period replaces a longer one. */
   void halt(TimeSpan grace) {
     if (haltGrace == null || grace.compareTo(haltGrace) < 0) {
--- a/src/main/java/org/oakwalk/core/fleet/UnmatchedAttempts.java
+++ b/src/main/java/org/oakwalk/core/fleet/UnmatchedAttempts.java
@@ -11,10 +11,13 @@
 
 /** Attempts in a machine's last report that are not, or no longer, backed by a placement. */
 final class UnmatchedAttempts {
+  private static final Resources ENDED_ATTEMPT = Resources.ofTaskSlots(1);
+
   private final Map<Machine.TaskAttempt, Boolean> uncleared = new LinkedHashMap<>();
   private final Set<TaskId> unclearedTasks = new HashSet<>();
   private final List<Machine.TaskAttempt> orphans = new ArrayList<>();
   private Resources orphanResources = Resources.NONE;
+  private Resources resources = Resources.NONE;
 
   /** Discards all entries before a new report is processed. */
   void clear() {
@@ -22,6 +25,7 @@
     unclearedTasks.clear();
     orphans.clear();
     orphanResources = Resources.NONE;
+    resources = Resources.NONE;
   }
 
   /**
@@ -30,7 +34,9 @@
    * @param done whether the task completed
    */
   void uncleared(Machine.TaskAttempt attempt, boolean done) {
-    uncleared.put(attempt, done);
+    if (uncleared.put(attempt, done) == null) {
+      resources = resources.plus(ENDED_ATTEMPT);
+    }
     unclearedTasks.add(attempt.task());
   }
 
@@ -43,9 +49,10 @@
   }
 
   /** Adds an attempt that should not run on the machine, with the room that it occupies. */
-  void addOrphan(Machine.TaskAttempt attempt, Resources resources) {
+  void addOrphan(Machine.TaskAttempt attempt, Resources taken) {
     orphans.add(attempt);
-    orphanResources = orphanResources.plus(resources);
+    orphanResources = orphanResources.plus(taken);
+    resources = resources.plus(taken);
   }
 
   List<Machine.TaskAttempt> orphans() {
@@ -55,4 +62,9 @@
   Resources orphanResources() {
     return orphanResources;
   }
+
+  /** Room that orphans take, and task slots that ended attempts take. */
+  Resources resources() {
+    return resources;
+  }
 }
--- a/src/main/java/org/oakwalk/core/job/JobSpec.java
+++ b/src/main/java/org/oakwalk/core/job/JobSpec.java
@@ -60,6 +60,11 @@
     return shape == Shape.GANG;
   }
 
+  /** Returns whether the job's priority is HIGH or above. */
+  public boolean urgent() {
+    return priority.compareTo(Priority.HIGH) >= 0;
+  }
+
   /** Returns whether the job may run on a machine of this type and zone, spot or not. */
   public boolean allows(String type, String machineZone, boolean spot) {
     return (machineTypes.isEmpty() || machineTypes.contains(type))
--- a/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
+++ b/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
@@ -73,7 +73,7 @@
         all.add(machine);
         machineCounts.merge(machine.type(), 1, Integer::sum);
         Resources free = machine.free();
-        if (free.cpus() > 0 && free.memoryGb() > 0) {
+        if (free.cpus() > 0 && free.memoryGb() > 0 && free.taskSlots() > 0) {
           withFreeRoom.add(machine);
         }
       }
--- a/src/main/java/org/oakwalk/core/placement/MachineDistance.java
+++ b/src/main/java/org/oakwalk/core/placement/MachineDistance.java
@@ -68,7 +68,7 @@
   public boolean fits(JobSpec spec, Machine machine) {
     Resources resources = spec.resources();
     Resources free = reserve.freeFor(spec, machine);
-    if (!resources.fitsInto(free)) {
+    if (!resources.fitsInto(free) || machine.freeTaskSlots(spec) < resources.taskSlots()) {
       return false;
     }
     Resources whole = machine.type().resources();
--- a/src/main/java/org/oakwalk/core/placement/Placer.java
+++ b/src/main/java/org/oakwalk/core/placement/Placer.java
@@ -58,8 +58,9 @@
    */
   private final Set<Job> newlyWaitingServices = new LinkedHashSet<>();
 
+  private final PlacementBudget budget;
+
   private int regularRounds;
-  private int placed;
   private long searches;
 
   /**
@@ -90,6 +91,7 @@
       CapacityExchange exchange) {
     this.reserve = reserve;
     this.fleet = fleet;
+    this.budget = new PlacementBudget(fleet);
     this.jobs = jobs;
     this.policy = policy;
     this.quota = quota;
@@ -136,7 +138,7 @@
    * @return the number of tasks placed
    */
   public int runRound(boolean inheritedToo, boolean regular, MonotonicTime time, WallTime wall) {
-    placed = 0;
+    budget.beginRound();
     now = time;
     regularRounds += regular ? 1 : 0;
     unplacedJobs.beginRound(now, wall);
@@ -165,7 +167,12 @@
       gangReservations.reserve(regularRounds, policy.placement().reserveAfterRounds(), now, wall);
     }
     placeInOrder(inheritedToo);
-    return placed;
+    return budget.placedInRound();
+  }
+
+  /** Whether the last round ended at its limit, so that the next one should follow soon. */
+  public boolean roundCutShort() {
+    return budget.roundFull();
   }
 
   private void placeInOrder(boolean inheritedToo) {
@@ -176,7 +183,7 @@
     Ranking.RankingTraversal traversal =
         ranking.new RankingTraversal(inheritedToo, individual, this::bonus, largeJobs::bonus);
     Map<Ranking.EquivalenceClass, Integer> misses = new HashMap<>();
-    for (Job job = traversal.next(); job != null; job = traversal.next()) {
+    for (Job job = traversal.next(); job != null && !budget.roundFull(); job = traversal.next()) {
       if (job.nextPending(0, now) < 0
           || largeJobs.isClassUnplaced(job) && !newlyWaitingServices.contains(job)) {
         continue;
@@ -216,11 +223,12 @@
   }
 
   private ClassDecision placeAndHandleMiss(Job job) {
-    int before = placed;
+    int before = budget.placedInRound();
     JobOutcome outcome = place(job);
-    if (placed > before && job.spec().priority().compareTo(Priority.HIGH) < 0) {
-      servedShares.recordPlaced(ServedShares.TeamClass.of(job), placed - before);
-      largeJobs.recordPlaced(job, placed - before);
+    int placed = budget.placedInRound() - before;
+    if (placed > 0 && job.spec().priority().compareTo(Priority.HIGH) < 0) {
+      servedShares.recordPlaced(ServedShares.TeamClass.of(job), placed);
+      largeJobs.recordPlaced(job, placed);
     }
     switch (outcome) {
       case DONE_FOR_ROUND -> {
@@ -268,7 +276,7 @@
     DONE_FOR_ROUND,
     /** No machine has room. */
     NO_ROOM,
-    /** The team's limit was reached, or the rest of a gang is being stopped. */
+    /** The team's or the leader's limit was reached, or the rest of a gang is being stopped. */
     HELD_BACK,
     /** Room is being made on a machine that has the image. */
     PREEMPTING_FOR_IMAGE
@@ -281,7 +289,7 @@
     if (spec.gang()) {
       return placeGang(job, zones);
     }
-    if (!quota.allows(job, 1)) {
+    if (!mayPlaceAnother(job)) {
       return JobOutcome.HELD_BACK;
     }
     // All tasks of a job share one search, unless a placement restricts the zones of the next.
@@ -308,7 +316,7 @@
         continue;
       }
       fleet.place(job, index, fleet.nextAttempt(), machine, runTimes.expected(spec), now);
-      placed++;
+      budget.recordPlaced();
       zones.merge(machine.zone(), 1, Integer::sum);
       if (zonesMatter) {
         search = search(job, zones);
@@ -320,13 +328,22 @@
         return JobOutcome.DONE_FOR_ROUND;
       }
       index = job.nextPending(index + 1, now);
-      if (index >= 0 && !quota.allows(job, 1)) {
+      if (index >= 0 && (budget.roundFull() || !mayPlaceAnother(job))) {
         return JobOutcome.HELD_BACK;
       }
     }
     return blockedByPastAttempt ? JobOutcome.NO_ROOM : JobOutcome.DONE_FOR_ROUND;
   }
 
+  /** Whether the limits of the job's team and of the leader allow one more of the job's tasks. */
+  private boolean mayPlaceAnother(Job job) {
+    return quota.allows(job, 1) && withinBudget(job, 1);
+  }
+
+  private boolean withinBudget(Job job, int count) {
+    return budget.allows(job.spec(), count, candidates.machineCounts().keySet());
+  }
+
   /** The number of tasks of a job that could run at the same time if nothing else ran. */
   private int maxTasksAtOnce(JobSpec spec) {
     return Math.min(
@@ -348,7 +365,7 @@
       haltGang(job);
       return JobOutcome.HELD_BACK;
     }
-    if (!quota.allows(job, needed)) {
+    if (!quota.allows(job, needed) || !withinBudget(job, needed)) {
       return JobOutcome.HELD_BACK;
     }
     Map<Machine, Integer> shares = new LinkedHashMap<>();
@@ -359,7 +376,7 @@
     for (Machine machine : machines) {
       int room =
           Math.min(
-              needed - allocation.total(),
+              Math.min(needed - allocation.total(), machine.freeTaskSlots(job.spec())),
               reserve.freeFor(job.spec(), machine).capacityFor(job.spec().resources()));
       int share = room > 0 ? allocation.allocate(machine, room) : 0;
       if (share > 0) {
@@ -377,7 +394,7 @@
           return JobOutcome.NO_ROOM;
         }
         fleet.place(job, index, attempt, share.getKey(), runTimes.expected(job.spec()), now);
-        placed++;
+        budget.recordPlaced();
       }
     }
     return JobOutcome.DONE_FOR_ROUND;
--- a/src/main/java/org/oakwalk/core/placement/Quota.java
+++ b/src/main/java/org/oakwalk/core/placement/Quota.java
@@ -101,6 +101,7 @@
     return new Resources(
         team.cpusMax() <= 0 ? Double.MAX_VALUE : team.cpusMax() - use.cpus(),
         team.gpusMax() <= 0 ? Double.MAX_VALUE : team.gpusMax() - use.gpus(),
+        Double.MAX_VALUE,
         Double.MAX_VALUE);
   }
 
--- a/src/main/java/org/oakwalk/model/EdgeCaseRequests.java
+++ b/src/main/java/org/oakwalk/model/EdgeCaseRequests.java
@@ -137,15 +137,15 @@
             .max()
             .orElse(0);
     return newSpec(
-        id, firstTeam(), JobSpec.Shape.SERVICE, 1, new Resources(cpus + 1, 0, 1), Set.of());
+        id, firstTeam(), JobSpec.Shape.SERVICE, 1, Resources.ofTask(cpus + 1, 0, 1), Set.of());
   }
 
   private JobSpec ofTeam(JobId id, String team, int tasks) {
-    return newSpec(id, team, JobSpec.Shape.SERVICE, tasks, new Resources(1, 0, 1), Set.of());
+    return newSpec(id, team, JobSpec.Shape.SERVICE, tasks, Resources.ofTask(1, 0, 1), Set.of());
   }
 
   private JobSpec ofType(JobId id, Set<String> types) {
-    return newSpec(id, firstTeam(), JobSpec.Shape.ARRAY, 1, new Resources(1, 0, 1), types);
+    return newSpec(id, firstTeam(), JobSpec.Shape.ARRAY, 1, Resources.ofTask(1, 0, 1), types);
   }
 
   /** Returns a service that exceeds its team limit; none if no team has a limit. */
--- a/src/main/java/org/oakwalk/model/InvariantChecker.java
+++ b/src/main/java/org/oakwalk/model/InvariantChecker.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.oakwalk.core.JobId;
+import org.oakwalk.core.Order;
 import org.oakwalk.core.Settings;
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.job.JobSpec;
@@ -137,6 +138,17 @@
         node.id + " ordered a start of " + start.order().task());
   }
 
+  /** Records the orders of a message that a worker received, to check its size. */
+  void ordersReceived(SimWorker machine, List<Order> orders) {
+    MessageSizeRule.violation(orders)
+        .ifPresent(description -> recordViolation("oversized", description + " for " + machine.id));
+  }
+
+  /** Records that a controller refused a worker's report because it is too large. */
+  void reportRefused(SimWorker machine, int tasks) {
+    recordViolation("oversized", "the report of " + machine.id + " lists " + tasks + " tasks");
+  }
+
   /** Whether the user has asked to cancel a job. */
   boolean isCancelRequested(JobId job) {
     return cancelRequested.contains(job);
--- a/src/main/java/org/oakwalk/model/LargeJobStartRule.java
+++ b/src/main/java/org/oakwalk/model/LargeJobStartRule.java
@@ -167,6 +167,7 @@
         new Resources(
             team.cpusMax() > 0 ? team.cpusMax() : Double.MAX_VALUE,
             team.gpusMax() > 0 ? team.gpusMax() : Double.MAX_VALUE,
+            Double.MAX_VALUE,
             Double.MAX_VALUE);
     int slots = 0;
     for (Map.Entry<SimCloud.CapacityPool, Integer> part : maxFleet.entrySet()) {
--- a/src/main/java/org/oakwalk/model/ReportSender.java
+++ b/src/main/java/org/oakwalk/model/ReportSender.java
@@ -60,6 +60,13 @@
     NodeId to = world.nodes.get(nodeIndex).id;
     Report report = worker.snapshot();
     world.workerTraffic.reportSent(report);
+    if (MessageSizeRule.exceedsLimit(report)) {
+      // Any controller answers 400, so the worker goes on to the next one.
+      world.invariants.reportRefused(worker, report.tasks().size());
+      inFlight = false;
+      switchNode();
+      return;
+    }
     if (!world.reportLoss.isLost(worker.address())) {
       deliver(
           report,
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -224,7 +224,8 @@
         line.word(1),
         new MachineType(
             line.word(1),
-            new Resources(line.number("cpus", 4), line.number("gpus", 0), line.number("mem", 16)),
+            Resources.ofMachine(
+                line.number("cpus", 4), line.number("gpus", 0), line.number("mem", 16)),
             line.number("cache", 50),
             line.number("fetch", 1),
             line.number("price", 1),
@@ -358,7 +359,7 @@
             JobSpec.Shape.valueOf(shape.toUpperCase(java.util.Locale.ROOT)),
             Priority.valueOf(line.text("priority", "normal").toUpperCase(java.util.Locale.ROOT)),
             (int) line.number("tasks", 1),
-            new Resources(line.number("cpus", 1), line.number("gpus", 0), line.number("mem", 1)),
+            Resources.ofTask(line.number("cpus", 1), line.number("gpus", 0), line.number("mem", 1)),
             types.isEmpty() ? Set.of() : Set.of(types.split(",")),
             Optional.ofNullable(line.text("zone", null)),
             line.hasWord("onezone"),
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -260,6 +260,7 @@
       observeToken(orders.token());
       renewedAt = Math.max(renewedAt, sent.at());
       expireLease();
+      world.invariants.ordersReceived(this, orders.orders());
       orders.orders().forEach(this::execute);
     }
   }
@@ -292,6 +293,7 @@
     }
     world.workerTraffic.commandReceived(command, true);
     observeToken(command.token());
+    world.invariants.ordersReceived(this, command.orders());
     command.orders().forEach(this::execute);
     then.accept(new Answer.CommandResult(true, snapshot()));
   }
@@ -401,6 +403,7 @@
       refuseStart(task, Report.Cause.UNKNOWN);
     } else if (!task.spec
         .resources()
+        .withoutTaskSlots()
         .fitsInto(type.resources().minus(usedResourcesWithout(task)))) {
       refuseStart(task, Report.Cause.NO_ROOM);
     } else {
--- a/src/main/java/org/oakwalk/wire/CapacityTransferCodec.java
+++ b/src/main/java/org/oakwalk/wire/CapacityTransferCodec.java
@@ -50,7 +50,7 @@
         map.shortText("team"),
         (int) map.count("tasks", 0, Integer.MAX_VALUE),
         new JobId(map.shortText("taker")),
-        new Resources(map.amount("cpus"), map.amount("gpus"), map.amount("memory_gb")),
+        Resources.ofTask(map.amount("cpus"), map.amount("gpus"), map.amount("memory_gb")),
         new MachineId(map.shortText("machine")),
         (int) map.count("level", 0, Integer.MAX_VALUE),
         new WallTime(map.count("since")));
--- a/src/main/java/org/oakwalk/wire/CloudCodec.java
+++ b/src/main/java/org/oakwalk/wire/CloudCodec.java
@@ -93,7 +93,7 @@
           name,
           new MachineType(
               name,
-              new Resources(
+              Resources.ofMachine(
                   type.amount("vcpus"), type.amount("accelerators"), type.amount("memory_gb")),
               type.amount("cache_gb"),
               type.amount("fetch_gb_per_s"),
--- a/src/main/java/org/oakwalk/wire/HeadroomCodec.java
+++ b/src/main/java/org/oakwalk/wire/HeadroomCodec.java
@@ -53,7 +53,7 @@
             map.text("name"),
             map.text("team"),
             map.text("class"),
-            new Resources(map.amount("cpus"), map.amount("gpus"), map.amount("mem")),
+            Resources.ofTask(map.amount("cpus"), map.amount("gpus"), map.amount("mem")),
             map.has("zone") ? Optional.of(map.text("zone")) : Optional.empty());
     Map<String, Integer> slots = new TreeMap<>();
     FieldReader byZone = map.map("places");
--- a/src/main/java/org/oakwalk/wire/JobCodec.java
+++ b/src/main/java/org/oakwalk/wire/JobCodec.java
@@ -46,7 +46,7 @@
         choice(fields, "shape", SHAPES),
         choice(fields, "urgency", PRIORITIES),
         (int) fields.count("pieces", 1, JobSpec.MAX_TASKS),
-        new Resources(
+        Resources.ofTask(
             fields.amount("vcpus"), fields.amount("accelerators"), fields.amount("memory_gb")),
         types(fields),
         fields.optionalText("region"),
--- a/src/main/java/org/oakwalk/wire/StateServiceCodec.java
+++ b/src/main/java/org/oakwalk/wire/StateServiceCodec.java
@@ -245,7 +245,8 @@
           type.text("name"),
           new MachineType(
               type.text("name"),
-              new Resources(type.amount("cpus"), type.amount("gpus"), type.amount("memory_gb")),
+              Resources.ofMachine(
+                  type.amount("cpus"), type.amount("gpus"), type.amount("memory_gb")),
               type.amount("cache_gb"),
               type.amount("fetch_gb_per_s"),
               type.amount("price"),
--- a/src/test/java/org/oakwalk/core/capacity/MachineTypeWriterTest.java
+++ b/src/test/java/org/oakwalk/core/capacity/MachineTypeWriterTest.java
@@ -58,7 +58,7 @@
       types.put(
           name,
           new MachineType(
-              name, new Resources(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
+              name, Resources.ofMachine(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
     }
     return types;
   }
--- a/src/test/java/org/oakwalk/core/exchange/CapacityTransferTest.java
+++ b/src/test/java/org/oakwalk/core/exchange/CapacityTransferTest.java
@@ -66,7 +66,7 @@
         "tune",
         2,
         new JobId("j-2"),
-        new Resources(8, 4, 64),
+        Resources.ofTask(8, 4, 64),
         new MachineId("host-000001"),
         5,
         INTENDED_AT);
--- a/src/test/java/org/oakwalk/core/fleet/FenceTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/FenceTest.java
@@ -50,7 +50,7 @@
       Map.of(
           "t",
           new MachineType(
-              "t", new Resources(64, 0, 64), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
+              "t", Resources.ofMachine(64, 0, 64), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
 
   private final Outbox outbox = new Outbox();
   private final StoreView view = new StoreView(outbox, 200, 3);
--- a/src/test/java/org/oakwalk/core/fleet/MachineRegistryTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/MachineRegistryTest.java
@@ -69,7 +69,14 @@
         Map.of(
             "t",
             new MachineType(
-                "t", new Resources(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a"))));
+                "t",
+                Resources.ofMachine(4, 0, 16),
+                10,
+                1,
+                1,
+                1,
+                TimeSpan.seconds(1),
+                List.of("a"))));
   }
 
   private Machine addRegisteringMachine() {
--- a/src/test/java/org/oakwalk/core/fleet/SchedulingModeTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/SchedulingModeTest.java
@@ -36,7 +36,7 @@
   private static Machine machine(SchedulingMode mode) {
     MachineType type =
         new MachineType(
-            "m", new Resources(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
+            "m", Resources.ofMachine(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
     Machine machine =
         new Machine(
             new MachineId("m-1"),
--- a/src/test/java/org/oakwalk/core/fleet/StateTransitionsTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/StateTransitionsTest.java
@@ -122,7 +122,7 @@
   private static Machine machine(Machine.State state) {
     MachineType type =
         new MachineType(
-            "m", new Resources(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
+            "m", Resources.ofMachine(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
     return new Machine(new MachineId("m-1"), "", type, "a", false, state, new Token(1), NOW);
   }
 
@@ -145,7 +145,7 @@
             JobSpec.Shape.ARRAY,
             Priority.NORMAL,
             2,
-            new Resources(1, 0, 1),
+            Resources.ofTask(1, 0, 1),
             Set.of(),
             Optional.empty(),
             false,
--- a/src/test/java/org/oakwalk/core/headroom/HeadroomAllocatorTest.java
+++ b/src/test/java/org/oakwalk/core/headroom/HeadroomAllocatorTest.java
@@ -35,7 +35,7 @@
  */
 class HeadroomAllocatorTest {
   private static final MonotonicTime NOW = new MonotonicTime(1_000_000);
-  private static final Resources SHAPE = new Resources(4, 4, 32);
+  private static final Resources SHAPE = Resources.ofTask(4, 4, 32);
   private static final HeadroomRow.HeadroomKey KEY =
       new HeadroomRow.HeadroomKey("serving", "crew", "search", SHAPE, Optional.empty());
 
@@ -59,7 +59,7 @@
     Settings.WorkerTiming timing =
         new Settings.WorkerTiming(TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40));
     fleet = new Fleet(new Token(1), null, null, null, timing, noListener);
-    Resources machineResources = new Resources(16, 4, 128);
+    Resources machineResources = Resources.ofMachine(16, 4, 128);
     fleet.setMachineTypes(
         Map.of(
             "g",
@@ -110,7 +110,7 @@
 
   @Test
   void doesNotAssembleSlotFromFragmentsOnSeveralMachines() {
-    JobSpec fragment = spec(JobSpec.Shape.ARRAY, new Resources(3, 3, 8), "resize", 1);
+    JobSpec fragment = spec(JobSpec.Shape.ARRAY, Resources.ofTask(3, 3, 8), "resize", 1);
     machines.forEach(machine -> placeTask(machine, fragment));
     allocate(1);
     assertThat(allocator.missingSlots()).isEqualTo(Map.of(KEY, Map.of("a", 1)));
@@ -132,13 +132,13 @@
 
   @Test
   void prefersMachinesWithImageAndProtectsCachedImage() {
-    JobSpec replica = spec(JobSpec.Shape.SERVICE, new Resources(1, 0, 8), "weights", 150);
+    JobSpec replica = spec(JobSpec.Shape.SERVICE, Resources.ofTask(1, 0, 8), "weights", 150);
     placeTask(machines.get(2), replica);
     allocate(2);
     assertThat(allocator.slotsOn(KEY, machines.get(2))).isEqualTo(1);
     assertThat(allocator.warmSlots(KEY)).isEqualTo(1);
-    JobSpec evicting = spec(JobSpec.Shape.ARRAY, new Resources(1, 0, 1), "other", 60);
-    JobSpec fitting = spec(JobSpec.Shape.ARRAY, new Resources(1, 0, 1), "other", 50);
+    JobSpec evicting = spec(JobSpec.Shape.ARRAY, Resources.ofTask(1, 0, 1), "other", 60);
+    JobSpec fitting = spec(JobSpec.Shape.ARRAY, Resources.ofTask(1, 0, 1), "other", 50);
     assertThat(allocator.evictsReservedImage(evicting, machines.get(2))).isTrue();
     assertThat(allocator.evictsReservedImage(fitting, machines.get(2))).isFalse();
     assertThat(allocator.evictsReservedImage(evicting, machines.get(0))).isFalse();
@@ -157,7 +157,7 @@
   void leavesRoomHeldForServiceToThatService() {
     Job holder =
         new Job(
-            spec(JobSpec.Shape.SERVICE, new Resources(2, 2, 8), "x", 1),
+            spec(JobSpec.Shape.SERVICE, Resources.ofTask(2, 2, 8), "x", 1),
             new Revision(1),
             new WallTime(0),
             false,
--- a/src/test/java/org/oakwalk/core/job/ArrayJobs.java
+++ b/src/test/java/org/oakwalk/core/job/ArrayJobs.java
@@ -25,7 +25,7 @@
         JobSpec.Shape.ARRAY,
         Priority.NORMAL,
         tasks,
-        new Resources(1, 0, 1),
+        Resources.ofTask(1, 0, 1),
         Set.of(),
         Optional.empty(),
         false,
--- a/src/test/java/org/oakwalk/core/job/UserRequestHandlerTest.java
+++ b/src/test/java/org/oakwalk/core/job/UserRequestHandlerTest.java
@@ -68,8 +68,8 @@
         });
     userRequests.setMachineTypes(
         Map.of(
-            "m", type("m", new Resources(4, 0, 16), "a", "b"),
-            "g", type("g", new Resources(8, 2, 32), "b")));
+            "m", type("m", Resources.ofMachine(4, 0, 16), "a", "b"),
+            "g", type("g", Resources.ofMachine(8, 2, 32), "b")));
     view.tick(now);
     store.serve(outbox, commit -> outcome);
   }
@@ -134,7 +134,7 @@
         JobSpec.Shape.valueOf(shape.toUpperCase(Locale.ROOT)),
         Priority.NORMAL,
         tasks,
-        new Resources(cpus, gpus, memory),
+        Resources.ofTask(cpus, gpus, memory),
         types,
         constraints.contains("zone:")
             ? Optional.of(valueAfter(constraints, "zone:"))
--- a/src/test/java/org/oakwalk/core/placement/JobTargetsTest.java
+++ b/src/test/java/org/oakwalk/core/placement/JobTargetsTest.java
@@ -26,7 +26,7 @@
         JobSpec.Shape.ARRAY,
         Priority.NORMAL,
         4,
-        new Resources(1, 0, 1),
+        Resources.ofTask(1, 0, 1),
         Set.of(),
         Optional.empty(),
         false,
--- a/src/test/java/org/oakwalk/core/placement/MachineSearchTest.java
+++ b/src/test/java/org/oakwalk/core/placement/MachineSearchTest.java
@@ -111,7 +111,7 @@
             service ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY,
             Priority.NORMAL,
             1 + random.nextInt(40),
-            new Resources(0.5 + random.nextInt(3), 0, 1 + random.nextInt(4)),
+            Resources.ofTask(0.5 + random.nextInt(3), 0, 1 + random.nextInt(4)),
             Set.of(),
             Optional.empty(),
             false,
@@ -155,6 +155,13 @@
 
   private static MachineType type(String name, int cpus, int memory) {
     return new MachineType(
-        name, new Resources(cpus, 0, memory), 40, 0.8, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
+        name,
+        Resources.ofMachine(cpus, 0, memory),
+        40,
+        0.8,
+        1,
+        0.3,
+        TimeSpan.seconds(20),
+        List.of("a"));
   }
 }
--- a/src/test/java/org/oakwalk/core/placement/PlacerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PlacerTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oakwalk.core.Attempt;
@@ -28,18 +29,22 @@
 import org.oakwalk.core.job.ArrayJobs;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
+import org.oakwalk.core.job.JobSpec;
+import org.oakwalk.core.job.Priority;
 import org.oakwalk.core.job.Resources;
 import org.oakwalk.core.port.Outbox;
 import org.oakwalk.core.store.JobRecord;
 import org.oakwalk.core.store.KnownJob;
 import org.oakwalk.core.store.StoreView;
 
-/** Placement rounds on one machine that still lists ended attempts. */
+/** Placement rounds where machines refuse tasks, or where only bounds limit the placements. */
 class PlacerTest {
   private static final MachineType TYPE =
       new MachineType(
-          "m", new Resources(2, 0, 8), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
+          "m", Resources.ofMachine(2, 0, 8), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
   private static final long REPORT_MILLIS = 2000;
+  private static final int SLOTS_FOR_TINY_TASKS =
+      Resources.TASK_SLOTS_PER_MACHINE - Resources.TASK_SLOTS_FOR_LARGER_TASKS;
 
   private final StoreView view = new StoreView(new Outbox(), 200, 3);
   private final JobRegistry jobs = new JobRegistry(view, new Token(1), new MonotonicTime(0));
@@ -116,11 +121,105 @@
     assertThat(other.isUnassigned(0)).isFalse();
   }
 
+  /**
+   * Guards against placements that nothing bounds: tasks without resources fit any number of times,
+   * and 100,000 of them on one machine made reports and responses of megabytes and ended the leader
+   * for lack of memory. Ended tasks that the worker still lists take their place in its reports.
+   */
+  @Test
+  void tasksWithoutResourcesTakeTaskSlots() {
+    Job ended = accept("j-1", 1);
+    Job job = accept("j-2", JobSpec.MAX_TASKS, Resources.ofTask(0, 0, 0));
+    runRoundWithEnded("j-1");
+    assertThat(job.assignedCount()).isEqualTo(SLOTS_FOR_TINY_TASKS - 1);
+    assertThat(ended.assignedCount()).isZero();
+    assertThat(fleet.respond(machine, now()))
+        .hasSizeLessThanOrEqualTo(Resources.TASK_SLOTS_PER_MACHINE);
+  }
+
+  /** A gang without resources starts whole or not at all, within the machine's task slots. */
+  @Test
+  void gangsTakeTaskSlots() {
+    Job tooLarge = accept("j-1", gang("j-1", SLOTS_FOR_TINY_TASKS + 1));
+    Job fitting = accept("j-2", gang("j-2", SLOTS_FOR_TINY_TASKS));
+    runRound(List.of());
+    assertThat(tooLarge.assignedCount()).isZero();
+    assertThat(fitting.assignedCount()).isEqualTo(SLOTS_FOR_TINY_TASKS);
+  }
+
+  /** Guards against a machine that is closed to all other work by a job of tiny tasks. */
+  @Test
+  void tinyTasksLeaveTaskSlotsToLargerOnes() {
+    accept("j-1", JobSpec.MAX_TASKS, Resources.ofTask(0.001, 0, 0));
+    runRound(List.of());
+    Job larger = accept("j-2", 1);
+    runRound(List.of());
+    assertThat(larger.assignedCount()).isEqualTo(1);
+  }
+
+  /**
+   * Guards against a leader's memory and time that grow with what jobs ask for: a round places a
+   * bounded number of tasks, and so does the leader in all, with a part left for larger tasks.
+   */
+  @Test
+  void placementsOfRoundAndLeaderAreBounded() {
+    for (int i = 2; i <= 150; i++) {
+      MachineId id = new MachineId("m-" + i);
+      fleet.add(id, "", "m", "a", false, Machine.State.UP, now());
+      report(id, List.of());
+    }
+    Job job = accept("j-1", JobSpec.MAX_TASKS, Resources.ofTask(0, 0, 0));
+    runRound(List.of());
+    assertThat(job.assignedCount()).isEqualTo(PlacementBudget.MAX_PLACEMENTS_PER_ROUND);
+    assertThat(placer.roundCutShort()).isTrue();
+    for (int round = 0; round < 10; round++) {
+      placer.runRound(true, false, now(), new WallTime(millis));
+    }
+    assertThat(job.assignedCount()).isEqualTo(PlacementBudget.MAX_TINY_PLACEMENTS);
+    Job larger = accept("j-2", 2);
+    placer.runRound(true, false, now(), new WallTime(millis));
+    assertThat(larger.assignedCount()).isEqualTo(2);
+  }
+
+  private static JobSpec gang(String id, int tasks) {
+    return spec(id, JobSpec.Shape.GANG, tasks, Resources.ofTask(0, 0, 0));
+  }
+
+  private static JobSpec spec(String id, JobSpec.Shape shape, int tasks, Resources each) {
+    return new JobSpec(
+        new JobId(id),
+        "some",
+        "crew",
+        shape,
+        Priority.NORMAL,
+        tasks,
+        each,
+        Set.of(),
+        Optional.empty(),
+        false,
+        false,
+        false,
+        "img",
+        0,
+        TimeSpan.seconds(5),
+        TimeSpan.seconds(0),
+        TimeSpan.seconds(0),
+        Optional.empty());
+  }
+
+  private Job accept(String id, int tasks, Resources each) {
+    return accept(id, spec(id, JobSpec.Shape.ARRAY, tasks, each));
+  }
+
   private MonotonicTime now() {
     return new MonotonicTime(millis);
   }
 
   private Job accept(String id, int tasks) {
+    return accept(id, ArrayJobs.spec(id, tasks));
+  }
+
+  private Job accept(String id, JobSpec spec) {
     JobId job = new JobId(id);
     jobs.applyStoredChange(
         new KnownJob(
@@ -128,22 +227,27 @@
             JobRecord.Phase.OPEN,
             new Revision(millis),
             new WallTime(millis),
-            ArrayJobs.spec(id, tasks),
-            tasks),
+            spec,
+            spec.tasks()),
         now());
     return jobs.find(job).orElseThrow();
   }
 
   /** Runs a round after a report that lists an ended attempt at the first task of a job. */
   private void runRoundWithEnded(String job) {
+    runRound(
+        List.of(
+            new Report.ReportedTask(
+                new TaskId(new JobId(job), 0),
+                new Attempt(1),
+                Report.TaskState.ENDED,
+                Report.Cause.HALTED)));
+  }
+
+  /** Runs a round after a report that lists these ended attempts beside the running ones. */
+  private void runRound(List<Report.ReportedTask> ended) {
     millis += REPORT_MILLIS;
-    List<Report.ReportedTask> listed = new ArrayList<>();
-    listed.add(
-        new Report.ReportedTask(
-            new TaskId(new JobId(job), 0),
-            new Attempt(1),
-            Report.TaskState.ENDED,
-            Report.Cause.HALTED));
+    List<Report.ReportedTask> listed = new ArrayList<>(ended);
     machine
         .placements()
         .forEach(
@@ -154,9 +258,14 @@
                         placement.attempt(),
                         Report.TaskState.RUNNING,
                         Report.Cause.OTHER)));
+    report(machine.id(), listed);
+    placer.runRound(true, true, now(), new WallTime(millis));
+  }
+
+  private void report(MachineId id, List<Report.ReportedTask> listed) {
     fleet.handleReport(
         new Report(
-            machine.id(),
+            id,
             "",
             "m",
             "a",
@@ -168,6 +277,5 @@
             listed),
         true,
         now());
-    placer.runRound(true, true, now(), new WallTime(millis));
   }
 }
--- a/src/test/java/org/oakwalk/core/placement/PreemptionPlannerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PreemptionPlannerTest.java
@@ -120,7 +120,7 @@
             shape,
             priority,
             tasks,
-            new Resources(4, 0, 1),
+            Resources.ofTask(4, 0, 1),
             Set.of(),
             Optional.empty(),
             false,
--- a/src/test/java/org/oakwalk/core/placement/RankingTest.java
+++ b/src/test/java/org/oakwalk/core/placement/RankingTest.java
@@ -49,7 +49,7 @@
   private static final int STEPS = 120;
   private static final MachineType TYPE =
       new MachineType(
-          "m", new Resources(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
+          "m", Resources.ofMachine(4, 0, 16), 40, 1, 1, 0.3, TimeSpan.seconds(20), List.of("a"));
 
   private final Settings.WorkerTiming timing =
       new Settings.WorkerTiming(TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40));
@@ -163,7 +163,7 @@
             service ? JobSpec.Shape.SERVICE : JobSpec.Shape.ARRAY,
             varied && random.nextInt(4) == 0 ? Priority.LOW : Priority.NORMAL,
             1 + random.nextInt(30),
-            new Resources(varied ? 1 + random.nextInt(2) : 1, 0, 1),
+            Resources.ofTask(varied ? 1 + random.nextInt(2) : 1, 0, 1),
             Set.of(),
             Optional.empty(),
             false,
--- a/src/test/java/org/oakwalk/core/planner/PlanningStatisticsTest.java
+++ b/src/test/java/org/oakwalk/core/planner/PlanningStatisticsTest.java
@@ -43,7 +43,7 @@
             JobSpec.Shape.ARRAY,
             Priority.NORMAL,
             tasks,
-            new Resources(1, 0, 1),
+            Resources.ofTask(1, 0, 1),
             Set.of(),
             Optional.empty(),
             false,
--- a/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
@@ -44,7 +44,7 @@
       Map.of(
           "t",
           new MachineType(
-              "t", new Resources(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
+              "t", Resources.ofMachine(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a")));
 
   private final Outbox outbox = new Outbox();
   private final StoreView view = new StoreView(outbox, 200, 3);
--- a/src/test/java/org/oakwalk/core/recovery/StoredResultsTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/StoredResultsTest.java
@@ -42,7 +42,8 @@
 /** Covers how a new leader handles stored results and unreadable records. */
 class StoredResultsTest {
   private static final MachineType TYPE =
-      new MachineType("m", new Resources(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a"));
+      new MachineType(
+          "m", Resources.ofMachine(4, 0, 16), 10, 1, 1, 1, TimeSpan.seconds(1), List.of("a"));
   private static final Settings.StateLimits LIMITS = new Settings.StateLimits(100, 100, 4, 4);
 
   private final Outbox outbox = new Outbox();
--- a/src/test/java/org/oakwalk/daemon/StatusReadLoadTest.java
+++ b/src/test/java/org/oakwalk/daemon/StatusReadLoadTest.java
@@ -59,7 +59,7 @@
         JobSpec.Shape.ARRAY,
         Priority.NORMAL,
         1,
-        new Resources(1, 0, 1),
+        Resources.ofTask(1, 0, 1),
         Set.of(),
         Optional.empty(),
         false,
--- a/src/test/java/org/oakwalk/wire/CapacityTransferCodecTest.java
+++ b/src/test/java/org/oakwalk/wire/CapacityTransferCodecTest.java
@@ -28,7 +28,7 @@
         "\u00e9".repeat(60),
         Integer.MAX_VALUE,
         new JobId("j-" + "2".repeat(18)),
-        new Resources(1.0 / 3, 1e6 / 7, 1e-6 / 7),
+        Resources.ofTask(1.0 / 3, 1e6 / 7, 1e-6 / 7),
         new MachineId("host-" + "3".repeat(60)),
         Integer.MAX_VALUE,
         new WallTime(Long.MAX_VALUE));
--- a/src/test/java/org/oakwalk/wire/MessageFormatTest.java
+++ b/src/test/java/org/oakwalk/wire/MessageFormatTest.java
@@ -267,7 +267,7 @@
                 "g8",
                 new MachineType(
                     "g8",
-                    new Resources(96, 8, 768),
+                    Resources.ofMachine(96, 8, 768),
                     200,
                     1,
                     12,
--- a/src/test/java/org/oakwalk/wire/SharedRecordCodecTest.java
+++ b/src/test/java/org/oakwalk/wire/SharedRecordCodecTest.java
@@ -30,7 +30,11 @@
     }
     return new HeadroomRow(
         new HeadroomRow.HeadroomKey(
-            name, name, name, new Resources(1234567.123456, 0.1, 999999.000001), Optional.of(name)),
+            name,
+            name,
+            name,
+            Resources.ofTask(1234567.123456, 0.1, 999999.000001),
+            Optional.of(name)),
         Priority.PRODUCTION,
         name,
         123456.789,
