Machines that were judged faulty or slow come back

Cause: errors of three jobs mark a machine as unfit before the jobs are known to be at fault, which takes errors on three machines, and nothing took the mark away; slow was never taken back. With a replica on it the machine is never empty, so it is not returned. The log shows all three machines excluded at 11.2 and 13.2 s and nothing after the cancellations at 16 s.

Change: MachineHealth is a state machine (healthy, suspected, unfit, on probation) with one function for changes. The judgement is made anew from valid evidence: that of cancelled, suspect or, after 10 s, only-failing jobs is withdrawn; it ages. At most half of the machines, at least one, are excluded. An unfit machine that keeps tasks gets single probe tasks of arrays that have not failed, after 10, 20, 40, then every 60 s. The scheduling mode is derived, so what drains and scaling set counts again afterwards.

--- a/src/main/java/org/oakwalk/cli/ExperimentCommand.java
+++ b/src/main/java/org/oakwalk/cli/ExperimentCommand.java
@@ -73,6 +73,13 @@
               + " can't grow.")
   private boolean lateCommands;
 
+  @Option(
+      names = "--mistakes",
+      description =
+          "With --draw: generates jobs that fail everywhere beside faulty and slow machines, in a"
+              + " fleet that can't grow.")
+  private boolean mistakes;
+
   @Option(
       names = "--hunts",
       description =
@@ -117,6 +124,7 @@
         faults = meetings ? faults.withOverlappingFaults() : faults;
         faults = hunts ? faults.withEdgeCaseFaults() : faults;
         faults = lateCommands ? faults.withLateCommands() : faults;
+        faults = mistakes ? faults.withMistakenJobs() : faults;
         passed &= runScenario("seed " + drawnSeed, faults.text());
       }
     }
--- a/src/main/java/org/oakwalk/core/capacity/MachineFailureDetector.java
+++ b/src/main/java/org/oakwalk/core/capacity/MachineFailureDetector.java
@@ -49,6 +49,13 @@
   /** Share of unreached machines from which this node counts as cut off. */
   private static final double CUT_OFF_SHARE = 0.75;
 
+  /**
+   * Share of the machines that may be excluded because of the outcomes of their tasks, at least one
+   * machine. Where more seem to be at fault, their jobs or an image probably are; one of two zones
+   * may truly be.
+   */
+  private static final double MAX_EXCLUDED_SHARE = 0.5;
+
   private final Fleet fleet;
   private final BootTracker bootTracker;
   private final Policy.CapacityPolicy policy;
@@ -57,6 +64,9 @@
   private int unreachedMachines;
   private int commandOnlyMachines;
   private int previousUnconfirmed;
+  private int upMachines;
+  private int excludedMachines;
+  private long judgements;
   private MonotonicTime lastConfirmation = new MonotonicTime(Long.MIN_VALUE / 2);
   private MonotonicTime lastMassSilence = new MonotonicTime(Long.MIN_VALUE / 2);
   private MonotonicTime lastProcessStall = new MonotonicTime(Long.MIN_VALUE / 2);
@@ -92,6 +102,7 @@
     int overdue = 0;
     unreachedMachines = 0;
     commandOnlyMachines = 0;
+    countExcluded();
     for (Machine machine : List.copyOf(fleet.machines())) {
       machine
           .takeBootTime()
@@ -122,12 +133,8 @@
           overdue += now.isPast(machine.lastReportAt(), suspectAfter.times(OVERDUE_SHARE)) ? 1 : 0;
           if (now.isPast(machine.lastReportAt(), silenceTimeout(machine))) {
             silent.add(machine);
-          } else if (isUnfit(machine) && !machine.schedulingMode().returnedWhenEmpty()) {
-            LOG.info(
-                "machine {} {}; excluding it from placement",
-                machine.id(),
-                machine.slow() ? "is slow" : "fails its tasks");
-            machine.schedulingMode(SchedulingMode.UNFIT);
+          } else if (machine.hasHealthEvidence()) {
+            judgeHealth(machine, now);
           }
           if (machine.schedulingMode().returnedWhenEmpty()
               && machine.idle()
@@ -237,7 +244,39 @@
     return hasSettledSince(lastMassSilence, now);
   }
 
-  private static boolean isUnfit(Machine machine) {
-    return machine.faulty() || machine.slow();
+  private void judgeHealth(Machine machine, MonotonicTime now) {
+    SchedulingMode before = machine.schedulingMode();
+    boolean mayExclude = excludedMachines < Math.max(1, (int) (upMachines * MAX_EXCLUDED_SHARE));
+    judgements++;
+    if (!machine.judgeHealth(mayExclude, now) || machine.schedulingMode() == before) {
+      return;
+    }
+    switch (machine.schedulingMode()) {
+      case UNFIT -> {
+        excludedMachines++;
+        LOG.info(
+            "machine {} {}; excluding it from placement",
+            machine.id(),
+            machine.slow() ? "is slow" : "fails its tasks");
+      }
+      case PROBATION -> LOG.info("machine {} is on probation", machine.id());
+      default -> LOG.info("machine {} accepts tasks again", machine.id());
+    }
+  }
+
+  /** The number of judgements of machines' health so far; used by tests that bound the work. */
+  long judgements() {
+    return judgements;
+  }
+
+  private void countExcluded() {
+    upMachines = 0;
+    excludedMachines = 0;
+    for (Machine machine : fleet.machines()) {
+      SchedulingMode mode = machine.schedulingMode();
+      boolean excluded = mode == SchedulingMode.UNFIT || mode == SchedulingMode.PROBATION;
+      upMachines += machine.state() == Machine.State.UP ? 1 : 0;
+      excludedMachines += machine.state() == Machine.State.UP && excluded ? 1 : 0;
+    }
   }
 }
--- a/src/main/java/org/oakwalk/core/drain/DrainSafetyCheck.java
+++ b/src/main/java/org/oakwalk/core/drain/DrainSafetyCheck.java
@@ -100,14 +100,16 @@
    */
   private boolean newMachinesFail(MonotonicTime now) {
     return fleet.machines().stream()
-            .filter(
-                machine ->
-                    machine.schedulingMode() == SchedulingMode.UNFIT && !machine.removalPlanned())
+            .filter(machine -> isExcluded(machine.schedulingMode()) && !machine.removalPlanned())
             .filter(machine -> !now.isPast(machine.knownSince(), NEW_MACHINE_AGE))
             .count()
         >= MIN_UNFIT_MACHINES;
   }
 
+  private static boolean isExcluded(SchedulingMode mode) {
+    return mode == SchedulingMode.UNFIT || mode == SchedulingMode.PROBATION;
+  }
+
   /**
    * Returns whether a job has a pending task that is not being moved and has waited too long.
    * Suspect and low-priority jobs don't count.
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -217,7 +217,7 @@
         new Machine(
             id, address, typeKnown ? kind : unboundedType(type), zone, spot, state, token, known);
     if (!typeKnown) {
-      machine.schedulingMode(SchedulingMode.UNFIT);
+      machine.markTypeUnknown();
     }
     machines.put(id, machine);
     unaccountedResources = null;
--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -20,9 +20,13 @@
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Resources;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A machine and its placements as known to one leader. */
 public final class Machine {
+  private static final Logger LOG = LoggerFactory.getLogger(Machine.class);
+
   /** Lifecycle state of a machine under one leader. */
   public enum State {
     /** Rented; its worker has not reported yet. */
@@ -72,6 +76,7 @@
   private Rental.Status cloudStatus;
   private Optional<TimeSpan> bootTime = Optional.empty();
   private boolean unverified;
+  private boolean typeKnown = true;
   private boolean representsUnreadableList;
   private boolean reportForwarded;
   private SchedulingMode schedulingMode = SchedulingMode.ACTIVE;
@@ -203,17 +208,16 @@
   }
 
   /**
-   * Whether errors are attributed to the machine rather than to a job: tasks of several jobs failed
-   * without a success in between, or several tasks of a job that completes tasks elsewhere. Jobs
-   * that fail on all machines are not counted.
+   * Which tasks the machine accepts while it is up. A judgement against the machine overrides all
+   * reasons but a reclaim notice, and leaves them as they are for when it is withdrawn.
    */
-  public boolean faulty() {
-    return health.faulty();
-  }
-
-  /** Which tasks the machine accepts while it is up. */
   public SchedulingMode schedulingMode() {
-    return schedulingMode;
+    if (!health.excluded() || schedulingMode == SchedulingMode.RECLAIMED) {
+      return schedulingMode;
+    }
+    return health.state() == MachineHealth.State.ON_PROBATION
+        ? SchedulingMode.PROBATION
+        : SchedulingMode.UNFIT;
   }
 
   /**
@@ -222,13 +226,50 @@
    * @return whether it has changed; a reason of higher precedence remains in force
    */
   public boolean schedulingMode(SchedulingMode next) {
-    if (next == schedulingMode || !schedulingMode.canTransitionTo(next)) {
+    if (next == schedulingMode() || !schedulingMode().canTransitionTo(next)) {
       return false;
     }
     schedulingMode = next;
     return true;
   }
 
+  /** Whether there is evidence to judge the machine by. */
+  public boolean hasHealthEvidence() {
+    return typeKnown && health.hasEvidence();
+  }
+
+  /** Whether the machine runs its tasks far slower than others. */
+  public boolean slow() {
+    return health.slow();
+  }
+
+  /**
+   * Judges anew whether the machine is at fault. One that is and keeps tasks for long is probed.
+   *
+   * @param mayExclude whether it may be excluded from placement
+   * @return whether the judgement has changed
+   */
+  public boolean judgeHealth(boolean mayExclude, MonotonicTime now) {
+    boolean keepsTasks =
+        holdsReplica()
+            || expectedEmptyAt.isAfter(now.plus(MachineHealth.MIN_PROBE_INTERVAL.times(3)));
+    return health.judge(mayExclude, keepsTasks, now);
+  }
+
+  /** Whether the machine is on probation and may get a task of this job as its probe. */
+  public boolean admitsProbe(Job job) {
+    return schedulingMode() == SchedulingMode.PROBATION
+        && health.probeDue()
+        && job.spec().shape() == JobSpec.Shape.ARRAY
+        && !job.hasOnlyFailed();
+  }
+
+  /** Marks that the cloud does not offer its type any more, so that it never accepts tasks. */
+  void markTypeUnknown() {
+    typeKnown = false;
+    schedulingMode(SchedulingMode.UNFIT);
+  }
+
   /** Whether a drain plan will remove the machine, so that services should run elsewhere. */
   public boolean removalPlanned() {
     return removalPlanned;
@@ -324,8 +365,20 @@
    * its use.
    */
   public boolean acceptsTasks(MonotonicTime now, TimeSpan suspectAfter) {
+    SchedulingMode mode = schedulingMode();
+    return (mode == SchedulingMode.ACTIVE || mode.backfillOnly()) && isReachable(now, suspectAfter);
+  }
+
+  /** Whether it is on probation and a probe task may be placed on it now. */
+  public boolean acceptsProbe(MonotonicTime now, TimeSpan suspectAfter) {
+    return schedulingMode() == SchedulingMode.PROBATION
+        && health.probeDue()
+        && isReachable(now, suspectAfter);
+  }
+
+  /** Whether it is up and orders reach it, as far as is known. */
+  private boolean isReachable(MonotonicTime now, TimeSpan suspectAfter) {
     return state == State.UP
-        && (schedulingMode == SchedulingMode.ACTIVE || schedulingMode.backfillOnly())
         && session().isPresent()
         && delivery.working()
         && !now.isPast(lastReportAt, suspectAfter)
@@ -397,29 +450,38 @@
     blockedUntil = until;
   }
 
-  void recordFailure(Job job) {
-    health.recordFailure(job);
+  void recordFailure(Placement placement, MonotonicTime now) {
+    health.recordFailure(placement.job(), placement, now);
   }
 
   /** Records that a task runs far longer on it than others of its job; counted once a placement. */
   public void recordLateTask(Placement placement) {
     if (placement.markLate()) {
-      health.recordLateTask();
+      health.recordLateTask(placement, lastReportAt);
     }
   }
 
-  /** Records that a task took no longer than others of its job. */
-  public void recordTimelyTask() {
-    health.recordTimelyTask();
+  /**
+   * Records that a task took no longer than others of its job.
+   *
+   * @param comparable whether its usual run time is known
+   */
+  public void recordTimelyTask(Placement placement, boolean comparable) {
+    boolean excluded = health.excluded();
+    health.recordTimelyTask(placement, comparable);
+    logIfReadmitted(excluded);
   }
 
-  /** Whether tasks take far longer on it than on other machines. */
-  public boolean slow() {
-    return health.slow();
+  void recordSuccess(Placement placement, MonotonicTime now) {
+    boolean excluded = health.excluded();
+    health.recordSuccess(placement, now);
+    logIfReadmitted(excluded);
   }
 
-  void recordSuccess() {
-    health.recordSuccess();
+  private void logIfReadmitted(boolean excludedBefore) {
+    if (excludedBefore && !health.excluded()) {
+      LOG.info("machine {} passed its probe and accepts tasks again", id);
+    }
   }
 
   /** The worker's current session and the progress of its reports. */
@@ -449,6 +511,9 @@
 
   void add(Placement placement) {
     placements.put(placement.task(), placement);
+    if (admitsProbe(placement.job())) {
+      health.probeStarted(placement);
+    }
     replicas += placement.job().spec().service() ? 1 : 0;
     expectedEmptyAt = later(expectedEmptyAt, placement.expectedEnd());
     used = used.plus(placement.job().spec().resources());
@@ -457,6 +522,7 @@
 
   void remove(Placement placement, MonotonicTime now) {
     if (placements.remove(placement.task(), placement)) {
+      health.placementEnded(placement);
       replicas -= placement.job().spec().service() ? 1 : 0;
       expectedEmptyAt = new MonotonicTime(Long.MIN_VALUE / 2);
       for (Placement left : placements.values()) {
--- a/src/main/java/org/oakwalk/core/fleet/Reconciler.java
+++ b/src/main/java/org/oakwalk/core/fleet/Reconciler.java
@@ -247,7 +247,7 @@
     switch (cause) {
       case DONE -> {
         job.complete(index, now);
-        machine.recordSuccess();
+        machine.recordSuccess(placement, now);
         MonotonicTime since = placement.runningSince();
         boolean known = since != null && placement.continuouslyObserved();
         listener.completed(placement, known ? now.since(since) : null);
@@ -255,7 +255,7 @@
       case ERROR -> {
         LOG.info("task {} failed on machine {}", placement.task(), machine.id());
         job.recordFailure(machine.id(), now);
-        machine.recordFailure(job);
+        machine.recordFailure(placement, now);
         job.backOff(index, true, now);
       }
       case NO_ROOM -> {
--- a/src/main/java/org/oakwalk/core/fleet/SchedulingMode.java
+++ b/src/main/java/org/oakwalk/core/fleet/SchedulingMode.java
@@ -24,6 +24,11 @@
   DRAIN_PENDING,
   /** Being drained: no new tasks; those on it are moved or run to their end. */
   CORDONED,
+  /**
+   * Its tasks have failed or run slowly, and it is probed: one task of an array at a time. Follows
+   * from the judgement of its health and is never set.
+   */
+  PROBATION,
   /** Its tasks fail or run slowly, or its type is unknown: no new tasks. */
   UNFIT,
   /** The cloud has announced that it reclaims the machine: no new tasks. */
@@ -37,6 +42,7 @@
     LEGAL.put(RETIRING, EnumSet.of(ACTIVE, DRAIN_PENDING, UNFIT, RECLAIMED));
     LEGAL.put(DRAIN_PENDING, EnumSet.of(ACTIVE, CORDONED, UNFIT, RECLAIMED));
     LEGAL.put(CORDONED, EnumSet.of(ACTIVE, UNFIT, RECLAIMED));
+    LEGAL.put(PROBATION, EnumSet.of(RECLAIMED));
     LEGAL.put(UNFIT, EnumSet.of(RECLAIMED));
     LEGAL.put(RECLAIMED, EnumSet.noneOf(SchedulingMode.class));
   }
--- a/src/main/java/org/oakwalk/core/job/Job.java
+++ b/src/main/java/org/oakwalk/core/job/Job.java
@@ -214,6 +214,19 @@
     return doneCount == 0 && faultDetector.isSuspect();
   }
 
+  /**
+   * Returns whether the job itself may be the cause of its failures: it is suspect, or has failed
+   * on several machines and completed no task.
+   */
+  public boolean isDoubtful() {
+    return isSuspect() || doneCount == 0 && faultDetector.failedMachineCount() > 1;
+  }
+
+  /** Returns whether tasks have failed and none has completed. */
+  public boolean hasOnlyFailed() {
+    return isSuspect() || doneCount == 0 && faultDetector.failedMachineCount() > 0;
+  }
+
   /** Records that a task has completed, in any of its attempts. */
   public void complete(int index, MonotonicTime now) {
     if (!done.get(index)) {
--- a/src/main/java/org/oakwalk/core/job/JobFaultDetector.java
+++ b/src/main/java/org/oakwalk/core/job/JobFaultDetector.java
@@ -46,6 +46,11 @@
             && errorCount >= SUSPECT_ERRORS_SMALL_FLEET);
   }
 
+  /** Returns the number of machines on which tasks have failed, up to the number that matters. */
+  int failedMachineCount() {
+    return failedMachines.size();
+  }
+
   /** Records whether any task of the job is running now. */
   void setRunning(boolean anyRunning, MonotonicTime now) {
     runningSince = !anyRunning ? null : runningSince == null ? now : runningSince;
--- a/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
+++ b/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
@@ -14,6 +14,7 @@
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.SchedulingMode;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
@@ -69,7 +70,9 @@
     withFreeRoom.clear();
     machineCounts.clear();
     for (Machine machine : fleet.machines()) {
-      if (machine.acceptsTasks(now, suspectAfter)) {
+      if (machine.acceptsProbe(now, suspectAfter)) {
+        withFreeRoom.add(machine);
+      } else if (machine.acceptsTasks(now, suspectAfter)) {
         all.add(machine);
         machineCounts.merge(machine.type(), 1, Integer::sum);
         Resources free = machine.free();
@@ -165,7 +168,7 @@
       if (spec.allows(machine.type().name(), machine.zone(), machine.spot())
           && (only == null || only.equals(machine.zone()))
           && !full.contains(machine.zone())
-          && (!machine.schedulingMode().backfillOnly() || endsBeforeEmptied(spec, machine, end))
+          && accepts(machine, job, end)
           && (holder == null
               || holder == job
               || reserve.hasResourcesReservedFor(spec, machine)
@@ -176,6 +179,14 @@
     return candidates;
   }
 
+  private static boolean accepts(Machine machine, Job job, MonotonicTime end) {
+    SchedulingMode mode = machine.schedulingMode();
+    if (mode == SchedulingMode.PROBATION) {
+      return machine.admitsProbe(job);
+    }
+    return !mode.backfillOnly() || endsBeforeEmptied(job.spec(), machine, end);
+  }
+
   /**
    * Whether a job may use a machine that is reserved for another one. This is possible only if it
    * is reserved for a gang, and the job either has a higher priority (HIGH or above) or is a batch
--- a/src/main/java/org/oakwalk/core/placement/MachineSearch.java
+++ b/src/main/java/org/oakwalk/core/placement/MachineSearch.java
@@ -8,6 +8,7 @@
 import org.oakwalk.core.TaskId;
 import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.fleet.Machine;
+import org.oakwalk.core.fleet.SchedulingMode;
 import org.oakwalk.core.job.Job;
 
 /**
@@ -58,10 +59,15 @@
     cpu[i] = MachineDistance.cpuUse(machine);
     memory[i] = MachineDistance.memoryUse(machine);
     gpu[i] = MachineDistance.gpuUse(machine);
-    fits[i] = distances.fits(job.spec(), machine);
+    fits[i] = distances.fits(job.spec(), machine) && mayTakeAnother(machine);
     otherTerms[i] = fits[i] ? distances.otherTerms(job, machine, run, now) : 0;
   }
 
+  /** Whether a machine takes one more task, which one on probation does not after its probe. */
+  private boolean mayTakeAnother(Machine machine) {
+    return machine.schedulingMode() != SchedulingMode.PROBATION || machine.admitsProbe(job);
+  }
+
   /**
    * Returns the machine with room that is nearest to the ideal one, see {@link MachineDistance}, or
    * null if there is none. Of equally distant machines the first is returned.
--- a/src/main/java/org/oakwalk/core/placement/SlowMachineDetector.java
+++ b/src/main/java/org/oakwalk/core/placement/SlowMachineDetector.java
@@ -6,6 +6,7 @@
 import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.job.JobSpec;
 
 /**
  * Detects slow machines, as opposed to slow jobs. A task is late if it runs far longer than other
@@ -29,7 +30,7 @@
     if (late(placement, ran)) {
       placement.machine().recordLateTask(placement);
     } else {
-      placement.machine().recordTimelyTask();
+      placement.machine().recordTimelyTask(placement, comparable(placement, ran));
     }
   }
 
@@ -45,6 +46,13 @@
     }
   }
 
+  /** Whether a run time that is not late is known to be usual; without others, by the estimate. */
+  private boolean comparable(Placement placement, TimeSpan ran) {
+    JobSpec spec = placement.job().spec();
+    return runTimes.typical(spec).isPresent()
+        || ran.compareTo(runTimes.expected(spec).times(LATE_FACTOR)) <= 0;
+  }
+
   private boolean late(Placement placement, TimeSpan ran) {
     Optional<TimeSpan> typicalRun = runTimes.typical(placement.job().spec());
     return placement.continuouslyObserved()
--- a/src/main/java/org/oakwalk/model/FaultSchedule.java
+++ b/src/main/java/org/oakwalk/model/FaultSchedule.java
@@ -58,6 +58,7 @@
                   line.hasWord("fornext") ? 0 : DelayInjector.MAX_REPORT_DELAY_LEASES * lease);
       case "restart" ->
           (line.number("times", 1) - 1) * line.number("every", 1) + line.number("after", 0);
+      case "faulty", "slow" -> line.number("for", 0);
       case "notice" -> line.number("in", 10);
       default -> 0;
     };
--- a/src/main/java/org/oakwalk/model/Scenario.java
+++ b/src/main/java/org/oakwalk/model/Scenario.java
@@ -36,6 +36,10 @@
  */
 public final class Scenario {
   private final List<ScenarioLine> lines = new ArrayList<>();
+
+  /** Duration of a fault without an end, in seconds. */
+  private static final double FOR_GOOD = 1e9;
+
   private final QueueOrder queueOrder;
   private World world;
   private HostSelector hostSelector;
@@ -283,8 +287,11 @@
       case "take" -> world.cloud.remove(new MachineId(line.word(3)));
       case "hang" -> hostSelector.worker(line.word(3)).hang(line.number("for", 10));
       case "notice" -> hostSelector.worker(line.word(3)).giveReclaimNotice(line.number("in", 10));
-      case "faulty" -> hostSelector.worker(line.word(3)).makeFaulty();
-      case "slow" -> hostSelector.worker(line.word(3)).slowDown(line.number("factor", 3));
+      case "faulty" -> hostSelector.worker(line.word(3)).makeFaulty(line.number("for", FOR_GOOD));
+      case "slow" ->
+          hostSelector
+              .worker(line.word(3))
+              .slowDown(line.number("factor", 3), line.number("for", FOR_GOOD));
       case "failboots" -> world.cloud.failBoots((int) line.number(3), line.text("zone", ""));
       case "slowboots" -> world.cloud.slowDownBoots(line.number(3));
       case "misled" ->
--- a/src/main/java/org/oakwalk/model/ScenarioGenerator.java
+++ b/src/main/java/org/oakwalk/model/ScenarioGenerator.java
@@ -16,6 +16,9 @@
   /** Covers a lease prolonged by grace and relays, machine boots, and the work itself. */
   private static final int RECOVERY_SECONDS = 110;
 
+  /** Further time for the work of a fleet that can't grow and was short of machines for long. */
+  private static final int SMALL_FLEET_SECONDS = 100;
+
   /** Machines with accelerators in each zone at the start. */
   private static final int ACCELERATOR_MACHINES_PER_ZONE = 2;
 
@@ -36,6 +39,7 @@
   private boolean overlappingFaults;
   private boolean edgeCaseFaults;
   private boolean lateCommands;
+  private boolean mistakenJobs;
 
   /** Creates a generator. The same seed and options always give the same scenario. */
   public ScenarioGenerator(int seed) {
@@ -85,6 +89,47 @@
     return withOverlappingFaults();
   }
 
+  /**
+   * Uses jobs that fail everywhere, machines that are faulty or slow for a time, and restarts of
+   * leaders, in a fleet that can't grow, instead of other faults.
+   */
+  public ScenarioGenerator withMistakenJobs() {
+    mistakenJobs = true;
+    return this;
+  }
+
+  private void addMistakenJobs() {
+    // With a replica on each machine, none becomes empty and is replaced.
+    addLine("at 7 submit j-81 service tasks=%d cpus=1 priority=high", machinesPerZone);
+    int mistakes = 3 + random.nextInt(12);
+    int first = 4 + random.nextInt(20);
+    for (int i = 0; i < mistakes; i++) {
+      int at = first + random.nextInt(12);
+      addLine(
+          "at %d submit j-%d array tasks=%d cpus=%d run=%d fails",
+          at, 50 + i, 1 + random.nextInt(4), 1 + random.nextInt(2), 1 + random.nextInt(3));
+      if (random.nextInt(3) > 0) {
+        addLine("at %d cancel j-%d", at + 3 + random.nextInt(40), 50 + i);
+      }
+    }
+    int faults = 1 + random.nextInt(3);
+    for (int i = 0; i < faults; i++) {
+      int at = 4 + random.nextInt(40);
+      String host = String.format(Locale.ROOT, "host-%06d", random.nextInt(totalMachines()));
+      int duration = 5 + random.nextInt(50);
+      if (random.nextBoolean()) {
+        addLine("at %d faulty %s for=%d", at, host, duration);
+      } else {
+        addLine("at %d slow %s factor=%d for=%d", at, host, 3 + random.nextInt(4), duration);
+      }
+    }
+    for (int i = random.nextInt(3); i > 0; i--) {
+      addLine("at %d restart leading after=%.1f", 10 + random.nextInt(70), shortDelaySeconds());
+    }
+    addLine("at %d submit j-80 array tasks=%d run=4", 90, 4 + random.nextInt(12));
+    finiteJobs.add("j-80");
+  }
+
   private void addLateCommands() {
     int faults = 1 + random.nextInt(3);
     for (int i = 0; i < faults; i++) {
@@ -189,6 +234,8 @@
       lines.addAll(edgeCases.jobAndFaultLines());
       finiteJobs.addAll(edgeCases.finiteJobs());
       faultsEnd = edgeCases.lastFaultEnd();
+    } else if (mistakenJobs) {
+      addMistakenJobs();
     } else if (overlappingFaults) {
       FaultCombinations combinations =
           new FaultCombinations(random, nodes, totalMachines(), zones, cancel);
@@ -206,7 +253,7 @@
     addLine("at %d restart down", LAST_FAULT_END_SECONDS);
     addLine("at %d cancel j-8", LAST_FAULT_END_SECONDS + 2);
     addLine("at %d submit j-9 array tasks=4 run=3", LAST_FAULT_END_SECONDS + 5);
-    int end = faultsEnd + RECOVERY_SECONDS;
+    int end = faultsEnd + RECOVERY_SECONDS + (mistakenJobs ? SMALL_FLEET_SECONDS : 0);
     if (edgeCaseFaults) {
       lines.addAll(edgeCases.expectationLines(end));
     }
@@ -230,7 +277,7 @@
   }
 
   private void addZone(String zone) {
-    addLine(lateCommands ? "capacity m %s 0" : "capacity m %s 12 spot=4", zone);
+    addLine(lateCommands || mistakenJobs ? "capacity m %s 0" : "capacity m %s 12 spot=4", zone);
     addLine("machine m %s %d", zone, machinesPerZone);
     if (accelerators) {
       addLine("capacity g %s 5", zone);
--- a/src/main/java/org/oakwalk/model/SimWorker.java
+++ b/src/main/java/org/oakwalk/model/SimWorker.java
@@ -139,12 +139,16 @@
     world.time.after(Math.round(seconds * 1000), () -> world.cloud.remove(id));
   }
 
-  void makeFaulty() {
+  /** Fails every task that begins within this time. */
+  void makeFaulty(double seconds) {
     faulty = true;
+    world.time.after(Math.round(seconds * 1000), () -> faulty = false);
   }
 
-  void slowDown(double factor) {
+  /** Slows down the tasks that begin within this time. */
+  void slowDown(double factor, double seconds) {
     slowdown = factor;
+    world.time.after(Math.round(seconds * 1000), () -> slowdown = 1);
   }
 
   /** Returns true if the machine neither fails its tasks nor slows them down. */
--- a/src/test/java/org/oakwalk/core/fleet/PlacementTestSupport.java
+++ b/src/test/java/org/oakwalk/core/fleet/PlacementTestSupport.java
@@ -10,4 +10,10 @@
   public static void markRunning(Placement placement, MonotonicTime since) {
     placement.enter(Placement.State.RUNNING, since);
   }
+
+  /** Records that a placement's task failed on its machine. */
+  public static void fail(Placement placement, MonotonicTime now) {
+    placement.job().recordFailure(placement.machine().id(), now);
+    placement.machine().recordFailure(placement, now);
+  }
 }
--- a/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
+++ b/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
@@ -20,6 +20,7 @@
   private static final int OVERLAP_SEEDS = 120;
   private static final int EDGE_CASE_SEEDS = 120;
   private static final int LATE_COMMAND_SEEDS = 60;
+  private static final int MISTAKEN_JOB_SEEDS = 120;
 
   @TestFactory
   List<DynamicTest> faults() {
@@ -99,6 +100,18 @@
     return seed > EDGE_CASE_SEEDS - 20 ? generator.withRollingReplacement() : generator;
   }
 
+  /** Jobs that fail everywhere beside faulty and slow machines, in fleets that can't grow. */
+  @TestFactory
+  List<DynamicTest> mistakenJobs() {
+    return IntStream.rangeClosed(1, MISTAKEN_JOB_SEEDS)
+        .mapToObj(
+            seed ->
+                DynamicTest.dynamicTest(
+                    "seed " + seed,
+                    () -> assertPasses(seed, new ScenarioGenerator(seed).withMistakenJobs())))
+        .toList();
+  }
+
   /** Commands that arrive late and get no answer, in fleets that can't grow. */
   @TestFactory
   List<DynamicTest> lateCommands() {
