What a leader remembers of machines goes with them, or is bounded

Found by asking what else is remembered about a machine and never forgotten.

Cause: the dispatcher kept the times of token pushes and responses by machine id, and the fleet and the autoscaler each kept every id that the cloud had confirmed as gone, for the whole term. Machines to be released were sent in the order of identity hash codes.

--- a/src/main/java/org/oakwalk/core/capacity/Autoscaler.java
+++ b/src/main/java/org/oakwalk/core/capacity/Autoscaler.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -70,8 +70,7 @@
   private final ScaleDown scaleDown;
   private final ZoneBoundDemand zoneBoundDemand;
   private Supplier<List<JobSpec>> reservedSpecs = List::of;
-  private final Set<MachineId> releasedIds = new HashSet<>();
-  private final Set<Machine> releasing = new HashSet<>();
+  private final Set<Machine> releasing = new LinkedHashSet<>();
   private Map<String, MachineType> types = Map.of();
   private MonotonicTime nextPlan = new MonotonicTime(Long.MIN_VALUE / 2);
   private MonotonicTime nextList = new MonotonicTime(Long.MIN_VALUE / 2);
@@ -195,7 +194,7 @@
       }
       return;
     }
-    if (releasedIds.contains(rental.id())) {
+    if (fleet.isGone(rental.id())) {
       // The list may be outdated, and a machine whose release the cloud has confirmed never
       // returns. Added as booting, it would be given up later and count as a failed boot.
       return;
@@ -244,7 +243,6 @@
           if (answer instanceof Answer.Ok) {
             for (Machine machine : batch) {
               releasing.remove(machine);
-              releasedIds.add(machine.id());
               fleet.confirmGone(machine, now);
               registry.machineGone(machine.id());
             }
--- a/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
+++ b/src/main/java/org/oakwalk/core/fleet/CommandDispatcher.java
@@ -1,9 +1,7 @@
 package org.oakwalk.core.fleet;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.oakwalk.core.MachineId;
 import org.oakwalk.core.MonotonicTime;
@@ -50,8 +48,6 @@
   private final Outbox outbox;
   private final Fleet fleet;
   private final Consumer<Report> reportHandler;
-  private final Map<MachineId, MonotonicTime> lastTokenPush = new HashMap<>();
-  private final Map<MachineId, MonotonicTime> lastResponse = new HashMap<>();
   private final TimeSpan suspectAfter;
   private int activeProbes;
   private MonotonicTime clock = new MonotonicTime(Long.MIN_VALUE / 2);
@@ -124,8 +120,8 @@
   }
 
   /** Records that a response with this leader's token was sent to a machine's report. */
-  public void responseSent(MachineId machine, MonotonicTime now) {
-    lastResponse.put(machine, now);
+  public void responseSent(MachineId id, MonotonicTime now) {
+    fleet.find(id).ifPresent(machine -> machine.delivery().responseSent(now));
   }
 
   /**
@@ -144,10 +140,10 @@
       if (due
           && !machine.commandInFlight()
           && !machine.address().isEmpty()
-          && !within(lastTokenPush, TOKEN_PUSH_INTERVAL, machine, now)
-          && !within(lastResponse, CONFIRMATION_WAIT, machine, now)) {
+          && now.isPast(machine.delivery().lastTokenPushAt(), TOKEN_PUSH_INTERVAL)
+          && now.isPast(machine.delivery().lastResponseAt(), CONFIRMATION_WAIT)) {
         sent++;
-        lastTokenPush.put(machine.id(), now);
+        machine.delivery().tokenPushed(now);
         send(machine, machine.session().orElse(SessionId.FIRST), List.of(), () -> {});
       }
     }
@@ -176,12 +172,6 @@
     }
   }
 
-  private static boolean within(
-      Map<MachineId, MonotonicTime> times, TimeSpan span, Machine machine, MonotonicTime now) {
-    MonotonicTime last = times.get(machine.id());
-    return last != null && !now.isPast(last, span);
-  }
-
   private void send(Machine machine, SessionId session, List<Order> orders, Runnable completed) {
     List<Machine.TaskAttempt> runs = new ArrayList<>();
     for (Order order : orders) {
@@ -208,7 +198,7 @@
             reportHandler.accept(commanded.report());
             if (!commanded.executed() && machine.state() == Machine.State.UNCONFIRMED) {
               // The session was a guess, and the report holds the actual one: push again at once.
-              lastTokenPush.remove(machine.id());
+              machine.delivery().forgetTokenPush();
             }
           }
         });
--- a/src/main/java/org/oakwalk/core/fleet/Fleet.java
+++ b/src/main/java/org/oakwalk/core/fleet/Fleet.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -104,7 +103,7 @@
   private final Map<TaskId, Placement> byTask = new HashMap<>();
   private final Map<String, Resources> teamUsage = new HashMap<>();
   private Map<String, MachineType> types = Map.of();
-  private final Set<MachineId> gone = new HashSet<>();
+  private final GoneMachines gone = new GoneMachines();
   private final Set<Machine> commandable = new LinkedHashSet<>();
   private final PreemptionIndex preemptionIndex = new PreemptionIndex();
   private final Reconciler reconciler;
@@ -323,7 +322,7 @@
   }
 
   /** Whether the cloud has confirmed that a machine no longer exists. */
-  boolean isGone(MachineId id) {
+  public boolean isGone(MachineId id) {
     return gone.contains(id);
   }
 
--- a/src/main/java/org/oakwalk/core/fleet/ResponseDelivery.java
+++ b/src/main/java/org/oakwalk/core/fleet/ResponseDelivery.java
@@ -25,6 +25,8 @@
   private MonotonicTime failingSince;
   private MonotonicTime lastProbeAt = new MonotonicTime(Long.MIN_VALUE / 2);
   private MonotonicTime lastCommandReplyAt = new MonotonicTime(Long.MIN_VALUE / 2);
+  private MonotonicTime lastTokenPushAt = new MonotonicTime(Long.MIN_VALUE / 2);
+  private MonotonicTime lastResponseAt = new MonotonicTime(Long.MIN_VALUE / 2);
 
   boolean working() {
     return state == State.DELIVERED;
@@ -55,6 +57,29 @@
     return lastCommandReplyAt;
   }
 
+  /** When this leader's token was last pushed to the machine by command. */
+  MonotonicTime lastTokenPushAt() {
+    return lastTokenPushAt;
+  }
+
+  void tokenPushed(MonotonicTime now) {
+    lastTokenPushAt = now;
+  }
+
+  /** Allows the next token push at once. */
+  void forgetTokenPush() {
+    lastTokenPushAt = new MonotonicTime(Long.MIN_VALUE / 2);
+  }
+
+  /** When a response with this leader's token was last sent to a report of the machine. */
+  MonotonicTime lastResponseAt() {
+    return lastResponseAt;
+  }
+
+  void responseSent(MonotonicTime now) {
+    lastResponseAt = now;
+  }
+
   /** Records that the machine reports this leader's token. */
   void tokenConfirmed() {
     if (state == State.TOKEN_NOT_RECEIVED) {
