--- a/src/test/java/org/oakwalk/core/capacity/HealthJudgementCostTest.java
+++ b/src/test/java/org/oakwalk/core/capacity/HealthJudgementCostTest.java
@@ -112,16 +112,7 @@
             null,
             new Settings.WorkerTiming(
                 TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40)),
-            new Fleet.Listener() {
-              @Override
-              public void completed(Placement placement, TimeSpan ran) {}
-
-              @Override
-              public void placed(Job job, MonotonicTime now) {}
-
-              @Override
-              public void capacityChanged() {}
-            });
+            PlacementTestSupport.NO_EVENTS);
     fleet.setMachineTypes(
         Map.of(
             "m",
--- a/src/test/java/org/oakwalk/core/fleet/FenceTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/FenceTest.java
@@ -94,16 +94,7 @@
             null,
             new Settings.WorkerTiming(
                 TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40)),
-            new Fleet.Listener() {
-              @Override
-              public void completed(Placement placement, TimeSpan ran) {}
-
-              @Override
-              public void placed(Job placed, MonotonicTime at) {}
-
-              @Override
-              public void capacityChanged() {}
-            });
+            PlacementTestSupport.NO_EVENTS);
     fleet.setMachineTypes(TYPES);
     job = jobs.find(new JobId("j-1")).orElseThrow();
     machine = report(GRANTED, List.of());
--- a/src/test/java/org/oakwalk/core/fleet/PlacementTestSupport.java
+++ b/src/test/java/org/oakwalk/core/fleet/PlacementTestSupport.java
@@ -1,9 +1,24 @@
 package org.oakwalk.core.fleet;
 
 import org.oakwalk.core.MonotonicTime;
+import org.oakwalk.core.TimeSpan;
+import org.oakwalk.core.job.Job;
 
 /** Gives tests of other packages access to the state of placements, without worker reports. */
 public final class PlacementTestSupport {
+  /** A listener that ignores all events. */
+  public static final Fleet.Listener NO_EVENTS =
+      new Fleet.Listener() {
+        @Override
+        public void completed(Placement placement, TimeSpan runTime) {}
+
+        @Override
+        public void placed(Job job, MonotonicTime now) {}
+
+        @Override
+        public void capacityChanged() {}
+      };
+
   private PlacementTestSupport() {}
 
   /** Marks a placement as running from this moment on. */
--- a/src/test/java/org/oakwalk/core/headroom/HeadroomAllocatorTest.java
+++ b/src/test/java/org/oakwalk/core/headroom/HeadroomAllocatorTest.java
@@ -21,7 +21,7 @@
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
-import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.fleet.SchedulingMode;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
@@ -45,17 +45,7 @@
 
   @BeforeEach
   void addMachines() {
-    Fleet.Listener noListener =
-        new Fleet.Listener() {
-          @Override
-          public void completed(Placement placement, TimeSpan ran) {}
-
-          @Override
-          public void placed(Job job, MonotonicTime now) {}
-
-          @Override
-          public void capacityChanged() {}
-        };
+    Fleet.Listener noListener = PlacementTestSupport.NO_EVENTS;
     Settings.WorkerTiming timing =
         new Settings.WorkerTiming(TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40));
     fleet = new Fleet(new Token(1), null, null, null, timing, noListener);
--- a/src/test/java/org/oakwalk/core/placement/MachineSearchTest.java
+++ b/src/test/java/org/oakwalk/core/placement/MachineSearchTest.java
@@ -26,7 +26,7 @@
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
-import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Priority;
@@ -129,23 +129,7 @@
   static Fleet fleet() {
     Settings.WorkerTiming timing =
         new Settings.WorkerTiming(TimeSpan.seconds(2), TimeSpan.seconds(10), TimeSpan.seconds(40));
-    Fleet fleet =
-        new Fleet(
-            new Token(1),
-            null,
-            null,
-            null,
-            timing,
-            new Fleet.Listener() {
-              @Override
-              public void completed(Placement placement, TimeSpan ran) {}
-
-              @Override
-              public void placed(Job job, MonotonicTime now) {}
-
-              @Override
-              public void capacityChanged() {}
-            });
+    Fleet fleet = new Fleet(new Token(1), null, null, null, timing, PlacementTestSupport.NO_EVENTS);
     fleet.setMachineTypes(
         Map.of(
             "small", type("small", 4, 8),
--- a/src/test/java/org/oakwalk/core/placement/PlacerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PlacerTest.java
@@ -25,7 +25,7 @@
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
-import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.job.ArrayJobs;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
@@ -56,16 +56,7 @@
           null,
           new Settings.WorkerTiming(
               TimeSpan.millis(REPORT_MILLIS), TimeSpan.seconds(10), TimeSpan.seconds(40)),
-          new Fleet.Listener() {
-            @Override
-            public void completed(Placement placement, TimeSpan ran) {}
-
-            @Override
-            public void placed(Job job, MonotonicTime now) {}
-
-            @Override
-            public void capacityChanged() {}
-          });
+          PlacementTestSupport.NO_EVENTS);
   private final Placer placer =
       new Placer(
           fleet,
--- a/src/test/java/org/oakwalk/core/placement/RankingTest.java
+++ b/src/test/java/org/oakwalk/core/placement/RankingTest.java
@@ -29,6 +29,7 @@
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineType;
 import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.job.ArrayJobs;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
@@ -64,22 +65,7 @@
   private final RunTimeEstimates runTimes = new RunTimeEstimates();
   private final JobScorer scorer = new JobScorer(Policy.defaults().scoring(), targets);
   private final Fleet fleet =
-      new Fleet(
-          new Token(1),
-          jobs,
-          view,
-          null,
-          timing,
-          new Fleet.Listener() {
-            @Override
-            public void completed(Placement placement, TimeSpan ran) {}
-
-            @Override
-            public void placed(Job job, MonotonicTime now) {}
-
-            @Override
-            public void capacityChanged() {}
-          });
+      new Fleet(new Token(1), jobs, view, null, timing, PlacementTestSupport.NO_EVENTS);
   private final Quota quota = new Quota(teams, fleet);
   private int numbers;
 
--- a/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/RecoveryTest.java
@@ -16,9 +16,8 @@
 import org.oakwalk.core.fleet.Fleet;
 import org.oakwalk.core.fleet.MachineRegistry;
 import org.oakwalk.core.fleet.MachineType;
-import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.job.ArrayJobs;
-import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
 import org.oakwalk.core.job.JobSpec;
 import org.oakwalk.core.job.Resources;
@@ -51,22 +50,7 @@
   private final JobRegistry jobs = jobRegistryWithOneJob();
   private final Settings.StateLimits limits = new Settings.StateLimits(200, 100, 4, 8);
   private final Fleet fleet =
-      new Fleet(
-          TOKEN,
-          jobs,
-          view,
-          null,
-          null,
-          new Fleet.Listener() {
-            @Override
-            public void completed(Placement placement, TimeSpan ran) {}
-
-            @Override
-            public void placed(Job job, MonotonicTime now) {}
-
-            @Override
-            public void capacityChanged() {}
-          });
+      new Fleet(TOKEN, jobs, view, null, null, PlacementTestSupport.NO_EVENTS);
   private final Recovery recovery =
       new Recovery(
           outbox,
--- a/src/test/java/org/oakwalk/core/recovery/StoredResultsTest.java
+++ b/src/test/java/org/oakwalk/core/recovery/StoredResultsTest.java
@@ -24,9 +24,8 @@
 import org.oakwalk.core.fleet.Machine;
 import org.oakwalk.core.fleet.MachineRegistry;
 import org.oakwalk.core.fleet.MachineType;
-import org.oakwalk.core.fleet.Placement;
+import org.oakwalk.core.fleet.PlacementTestSupport;
 import org.oakwalk.core.job.ArrayJobs;
-import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
 import org.oakwalk.core.job.Resources;
 import org.oakwalk.core.job.ResultWriter;
@@ -77,23 +76,7 @@
     jobs = new JobRegistry(view, token, now);
     Settings.WorkerTiming timing =
         new Settings.WorkerTiming(TimeSpan.seconds(1), TimeSpan.seconds(10), TimeSpan.seconds(30));
-    fleet =
-        new Fleet(
-            token,
-            jobs,
-            view,
-            null,
-            timing,
-            new Fleet.Listener() {
-              @Override
-              public void completed(Placement placement, TimeSpan ran) {}
-
-              @Override
-              public void placed(Job job, MonotonicTime at) {}
-
-              @Override
-              public void capacityChanged() {}
-            });
+    fleet = new Fleet(token, jobs, view, null, timing, PlacementTestSupport.NO_EVENTS);
     fleet.setMachineTypes(java.util.Map.of("m", TYPE));
     recovery =
         new Recovery(
--- a/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
+++ b/src/test/java/org/oakwalk/scenario/GeneratedScenariosTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
@@ -24,36 +25,19 @@
 
   @TestFactory
   List<DynamicTest> faults() {
-    return IntStream.rangeClosed(1, FAULT_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed, () -> assertPasses(seed, new ScenarioGenerator(seed))))
-        .toList();
+    return drawn(FAULT_SEEDS, seed -> new ScenarioGenerator(seed));
   }
 
   /** Random faults while all machines are replaced step by step. */
   @TestFactory
   List<DynamicTest> faultsDuringRollingReplacement() {
-    return IntStream.rangeClosed(1, FAULT_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed,
-                    () -> assertPasses(seed, new ScenarioGenerator(seed).withRollingReplacement())))
-        .toList();
+    return drawn(FAULT_SEEDS, seed -> new ScenarioGenerator(seed).withRollingReplacement());
   }
 
   /** Random faults while headroom is reserved for replicas. */
   @TestFactory
   List<DynamicTest> faultsWithHeadroom() {
-    return IntStream.rangeClosed(1, FAULT_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed,
-                    () -> assertPasses(seed, new ScenarioGenerator(seed).withHeadroom())))
-        .toList();
+    return drawn(FAULT_SEEDS, seed -> new ScenarioGenerator(seed).withHeadroom());
   }
 
   /**
@@ -62,12 +46,7 @@
    */
   @TestFactory
   List<DynamicTest> overlappingFaults() {
-    return IntStream.rangeClosed(1, OVERLAP_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed, () -> assertPasses(seed, withOverlappingFaults(seed))))
-        .toList();
+    return drawn(OVERLAP_SEEDS, seed -> withOverlappingFaults(seed));
   }
 
   private static ScenarioGenerator withOverlappingFaults(int seed) {
@@ -84,12 +63,7 @@
    */
   @TestFactory
   List<DynamicTest> edgeCaseFaults() {
-    return IntStream.rangeClosed(1, EDGE_CASE_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed, () -> assertPasses(seed, withEdgeCaseFaults(seed))))
-        .toList();
+    return drawn(EDGE_CASE_SEEDS, seed -> withEdgeCaseFaults(seed));
   }
 
   private static ScenarioGenerator withEdgeCaseFaults(int seed) {
@@ -103,24 +77,22 @@
   /** Jobs that fail everywhere beside faulty and slow machines, in fleets that can't grow. */
   @TestFactory
   List<DynamicTest> mistakenJobs() {
-    return IntStream.rangeClosed(1, MISTAKEN_JOB_SEEDS)
-        .mapToObj(
-            seed ->
-                DynamicTest.dynamicTest(
-                    "seed " + seed,
-                    () -> assertPasses(seed, new ScenarioGenerator(seed).withMistakenJobs())))
-        .toList();
+    return drawn(MISTAKEN_JOB_SEEDS, seed -> new ScenarioGenerator(seed).withMistakenJobs());
   }
 
   /** Commands that arrive late and get no answer, in fleets that can't grow. */
   @TestFactory
   List<DynamicTest> lateCommands() {
-    return IntStream.rangeClosed(1, LATE_COMMAND_SEEDS)
+    return drawn(LATE_COMMAND_SEEDS, seed -> new ScenarioGenerator(seed).withLateCommands());
+  }
+
+  /** One test for each seed from 1 on. */
+  private static List<DynamicTest> drawn(int seeds, IntFunction<ScenarioGenerator> generator) {
+    return IntStream.rangeClosed(1, seeds)
         .mapToObj(
             seed ->
                 DynamicTest.dynamicTest(
-                    "seed " + seed,
-                    () -> assertPasses(seed, new ScenarioGenerator(seed).withLateCommands())))
+                    "seed " + seed, () -> assertPasses(seed, generator.apply(seed))))
         .toList();
   }
 
