--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -1,10 +1,8 @@
 package org.oakwalk.core.fleet;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.EnumSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -71,7 +69,6 @@
   private MonotonicTime leaseRenewedAt;
   private MonotonicTime lastReportAt;
   private MonotonicTime reclaimedAt;
-  private MonotonicTime idleSince;
   private MonotonicTime blockedUntil;
   private Rental.Status cloudStatus;
   private Optional<TimeSpan> bootTime = Optional.empty();
@@ -83,14 +80,11 @@
   private boolean removalPlanned;
   private final MachineHealth health = new MachineHealth();
   private Resources reserved = Resources.NONE;
-  private Resources used = Resources.NONE;
   private Resources cachedFree;
   private Resources cachedUsed;
   private Resources cachedUnmatchedResources;
   private Resources cachedReserved;
-  private int replicas;
-  private MonotonicTime expectedEmptyAt = new MonotonicTime(Long.MIN_VALUE / 2);
-  private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+  private final MachinePlacements placements;
   private final ImageCache images;
   private final UnmatchedAttempts unmatched = new UnmatchedAttempts();
   private boolean commandInFlight;
@@ -119,7 +113,7 @@
     this.knownSince = known;
     this.lastReportAt = known;
     this.leaseRenewedAt = known;
-    this.idleSince = known;
+    this.placements = new MachinePlacements(known);
     this.blockedUntil = known;
   }
 
@@ -199,7 +193,7 @@
 
   /** When its last placement was removed; if it never had any, when it became known. */
   public MonotonicTime idleSince() {
-    return idleSince;
+    return placements.idleSince();
   }
 
   /** Errors of this job's tasks on this machine since a task last succeeded on it. */
@@ -252,7 +246,7 @@
   public boolean judgeHealth(boolean mayExclude, MonotonicTime now) {
     boolean keepsTasks =
         holdsReplica()
-            || expectedEmptyAt.isAfter(now.plus(MachineHealth.MIN_PROBE_INTERVAL.times(3)));
+            || expectedEmptyAt().isAfter(now.plus(MachineHealth.MIN_PROBE_INTERVAL.times(3)));
     return health.judge(mayExclude, keepsTasks, now);
   }
 
@@ -286,7 +280,7 @@
 
   /** Room of its placements. */
   public Resources used() {
-    return used;
+    return placements.used();
   }
 
   /**
@@ -295,6 +289,7 @@
    * changes, since every search of a placement round reads it.
    */
   public Resources free() {
+    Resources used = placements.used();
     Resources unmatchedResources = unmatched.resources();
     if (cachedUsed != used
         || cachedUnmatchedResources != unmatchedResources
@@ -329,31 +324,27 @@
   }
 
   public Collection<Placement> placements() {
-    return placements.values();
+    return placements.all();
   }
 
   /** The placement of a task on this machine, or null. */
   public Placement placement(TaskId task) {
-    return placements.get(task);
-  }
-
-  private static MonotonicTime later(MonotonicTime one, MonotonicTime other) {
-    return other == null || one.isAfter(other) ? one : other;
+    return placements.of(task);
   }
 
   /** When the last of its tasks, services apart, is expected to end. */
   public MonotonicTime expectedEmptyAt() {
-    return expectedEmptyAt;
+    return placements.expectedEmptyAt();
   }
 
   /** Number of placements of this job's tasks. */
   public long taskCountOf(JobId job) {
-    return placements.keySet().stream().filter(task -> task.job().equals(job)).count();
+    return placements.countOf(job);
   }
 
   /** Whether it holds a replica of a service, which has no expected end. */
   public boolean holdsReplica() {
-    return replicas > 0;
+    return placements.anyReplica();
   }
 
   public boolean idle() {
@@ -510,33 +501,21 @@
   }
 
   void add(Placement placement) {
-    placements.put(placement.task(), placement);
+    placements.add(placement);
     if (admitsProbe(placement.job())) {
       health.probeStarted(placement);
     }
-    replicas += placement.job().spec().service() ? 1 : 0;
-    expectedEmptyAt = later(expectedEmptyAt, placement.expectedEnd());
-    used = used.plus(placement.job().spec().resources());
     images.use(placement.job().spec().image(), placement.job().spec().imageGb());
   }
 
   void remove(Placement placement, MonotonicTime now) {
-    if (placements.remove(placement.task(), placement)) {
+    if (placements.remove(placement, now)) {
       health.placementEnded(placement);
-      replicas -= placement.job().spec().service() ? 1 : 0;
-      expectedEmptyAt = new MonotonicTime(Long.MIN_VALUE / 2);
-      for (Placement left : placements.values()) {
-        expectedEmptyAt = later(expectedEmptyAt, left.expectedEnd());
-      }
-      used = placements.isEmpty() ? Resources.NONE : used.minus(placement.job().spec().resources());
-      if (placements.isEmpty()) {
-        idleSince = now;
-      }
     }
   }
 
   List<Placement> placementsCopy() {
-    return new ArrayList<>(placements.values());
+    return placements.copy();
   }
 
   /** Attempts in its last report that have no placement. */
@@ -615,7 +594,7 @@
    * keep the session alive, and the start would be executed whenever it arrives.
    */
   boolean mustNotRenewLease(MonotonicTime now, TimeSpan limit) {
-    for (Placement placement : placements.values()) {
+    for (Placement placement : placements.all()) {
       MonotonicTime withdrawn = placement.job().earliestWithdrawalNotice();
       if (withdrawn != null
           && now.isPast(withdrawn, limit)
