--- a/src/main/java/org/oakwalk/core/capacity/MachineFailureDetector.java
+++ b/src/main/java/org/oakwalk/core/capacity/MachineFailureDetector.java
@@ -273,10 +273,10 @@
     upMachines = 0;
     excludedMachines = 0;
     for (Machine machine : fleet.machines()) {
-      SchedulingMode mode = machine.schedulingMode();
-      boolean excluded = mode == SchedulingMode.UNFIT || mode == SchedulingMode.PROBATION;
-      upMachines += machine.state() == Machine.State.UP ? 1 : 0;
-      excludedMachines += machine.state() == Machine.State.UP && excluded ? 1 : 0;
+      if (machine.state() == Machine.State.UP) {
+        upMachines++;
+        excludedMachines += machine.schedulingMode().unfit() ? 1 : 0;
+      }
     }
   }
 }
--- a/src/main/java/org/oakwalk/core/drain/DrainSafetyCheck.java
+++ b/src/main/java/org/oakwalk/core/drain/DrainSafetyCheck.java
@@ -7,7 +7,6 @@
 import org.oakwalk.core.TimeSpan;
 import org.oakwalk.core.capacity.Autoscaler;
 import org.oakwalk.core.fleet.Fleet;
-import org.oakwalk.core.fleet.SchedulingMode;
 import org.oakwalk.core.job.Job;
 import org.oakwalk.core.job.JobRegistry;
 import org.oakwalk.core.job.Priority;
@@ -100,16 +99,12 @@
    */
   private boolean newMachinesFail(MonotonicTime now) {
     return fleet.machines().stream()
-            .filter(machine -> isExcluded(machine.schedulingMode()) && !machine.removalPlanned())
+            .filter(machine -> machine.schedulingMode().unfit() && !machine.removalPlanned())
             .filter(machine -> !now.isPast(machine.knownSince(), NEW_MACHINE_AGE))
             .count()
         >= MIN_UNFIT_MACHINES;
   }
 
-  private static boolean isExcluded(SchedulingMode mode) {
-    return mode == SchedulingMode.UNFIT || mode == SchedulingMode.PROBATION;
-  }
-
   /**
    * Returns whether a job has a pending task that is not being moved and has waited too long.
    * Suspect and low-priority jobs don't count.
--- a/src/main/java/org/oakwalk/core/fleet/SchedulingMode.java
+++ b/src/main/java/org/oakwalk/core/fleet/SchedulingMode.java
@@ -57,6 +57,11 @@
     return this != ACTIVE && this != DRAIN_PENDING;
   }
 
+  /** Whether tasks fail or run slowly on the machine, or its type is unknown. */
+  public boolean unfit() {
+    return this == UNFIT || this == PROBATION;
+  }
+
   /** Whether only backfill is allowed: tasks that end before the machine would be empty anyway. */
   public boolean backfillOnly() {
     return this == RETIRING || this == DRAIN_PENDING;
--- a/src/main/java/org/oakwalk/core/placement/PlacementBudget.java
+++ b/src/main/java/org/oakwalk/core/placement/PlacementBudget.java
@@ -15,7 +15,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(PlacementBudget.class);
 
   /**
-   * Placements of a leader, at some 400 bytes each: a third of the heap of the deploy file, and
+   * Placements of a leader, at some 350 bytes each: a third of the heap of the deploy file, and
    * more than 4,000 machines of 16 CPUs hold of tasks of one CPU.
    */
   static final int MAX_PLACEMENTS = 68_000;
