Probes of unfit machines are tasks of jobs that have completed some

Change: for 5 s a machine on probation takes a task of a proven job only, then of any that has not failed.

--- a/src/main/java/org/oakwalk/core/fleet/Machine.java
+++ b/src/main/java/org/oakwalk/core/fleet/Machine.java
@@ -253,9 +253,8 @@
   /** Whether the machine is on probation and may get a task of this job as its probe. */
   public boolean admitsProbe(Job job) {
     return schedulingMode() == SchedulingMode.PROBATION
-        && health.probeDue()
         && job.spec().shape() == JobSpec.Shape.ARRAY
-        && !job.hasOnlyFailed();
+        && health.admitsProbe(job);
   }
 
   /** Marks that the cloud does not offer its type any more, so that it never accepts tasks. */
--- a/src/main/java/org/oakwalk/core/fleet/MachineHealth.java
+++ b/src/main/java/org/oakwalk/core/fleet/MachineHealth.java
@@ -65,6 +65,12 @@
 
   static final TimeSpan MAX_PROBE_INTERVAL = TimeSpan.seconds(60);
 
+  /**
+   * How long a machine on probation waits for a job that has completed tasks. The failure of
+   * another one's probe may be the job's fault.
+   */
+  static final TimeSpan PROVEN_JOB_WAIT = TimeSpan.seconds(5);
+
   /** Run time of a probe that shows a machine not to fail its tasks. */
   static final TimeSpan HEALTHY_RUN_TIME = TimeSpan.seconds(30);
 
@@ -80,6 +86,8 @@
   private MonotonicTime nextProbe;
   private MonotonicTime excludedAt;
   private Placement probe;
+  private MonotonicTime probationSince;
+  private boolean unprovenJobsToo;
 
   State state() {
     return state;
@@ -145,8 +153,11 @@
       enter(errorsByJob.isEmpty() && lateScore == 0 ? State.HEALTHY : stateOfDoubt());
     } else if (excluded()) {
       if (state == State.UNFIT && wantsProbe && !nextProbe.isAfter(now)) {
+        probationSince = now;
+        unprovenJobsToo = false;
         enter(State.ON_PROBATION);
       }
+      unprovenJobsToo |= state == State.ON_PROBATION && now.isPast(probationSince, PROVEN_JOB_WAIT);
     } else if (mayExclude) {
       probeInterval = MIN_PROBE_INTERVAL;
       nextProbe = now.plus(probeInterval);
@@ -254,6 +265,11 @@
     return state == State.ON_PROBATION && probe == null;
   }
 
+  /** Whether the probe may be a task of this job. */
+  boolean admitsProbe(Job job) {
+    return probeDue() && (job.doneCount() > 0 || unprovenJobsToo && !job.hasOnlyFailed());
+  }
+
   /** Records that a task was placed as the probe. */
   void probeStarted(Placement placement) {
     probe = placement;
--- a/src/test/java/org/oakwalk/core/fleet/MachineHealthTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/MachineHealthTest.java
@@ -130,6 +130,25 @@
     }
   }
 
+  /** Guards against probes that are lost on new jobs which fail themselves. */
+  @Test
+  void jobsThatHaveCompletedTasksAreProbesFirst() {
+    makeUnfit();
+    pass(MachineHealth.MIN_PROBE_INTERVAL);
+    judge(true);
+    Job proven = job(7);
+    proven.complete(1, now);
+    Job unproven = job(8);
+    Job failing = job(9);
+    failing.recordFailure(new MachineId("m-2"), now);
+    assertThat(health.admitsProbe(proven)).isTrue();
+    assertThat(health.admitsProbe(unproven)).isFalse();
+    pass(MachineHealth.PROVEN_JOB_WAIT);
+    judge(true);
+    assertThat(health.admitsProbe(unproven)).isTrue();
+    assertThat(health.admitsProbe(failing)).isFalse();
+  }
+
   @Test
   void successfulProbeRestores() {
     Placement probe = startProbe();
