Machines are not reserved for jobs that can't start there

Cause: a reservation was made on the machine that lacked least, whatever its tasks were, and kept while the job waited, also through its backoff.

Change: none for suspect jobs; none where the present tasks, replicas apart, would not leave enough room once they end; and it is dropped while the job is in backoff.

Tests: PlacerTest.noReservationWhereRoomNeverComes and suspectJobsKeepNoReservation fail before.

--- a/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
+++ b/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
@@ -83,13 +83,41 @@
     }
     if (!reservations.isEmpty()) {
       reservations.keySet().retainAll(new HashSet<>(all));
-      reservations.values().removeIf(job -> !job.isOpen() || job.pendingCount() <= 0);
+      reservations
+          .entrySet()
+          .removeIf(entry -> !mayHoldReservation(entry.getValue(), entry.getKey()));
     }
     updateUnusedReservations();
     expectedStarts.keySet().removeIf(job -> !job.isOpen() || job.assignedCount() > 0);
     reserve.beginRound(all, reservations);
   }
 
+  /**
+   * Whether a job still waits and, unless it is a gang, could start on the machine once tasks there
+   * have ended. Gangs have a time limit of their own.
+   */
+  private boolean mayHoldReservation(Job job, Machine machine) {
+    if (!job.isOpen() || job.pendingCount() <= 0) {
+      return false;
+    }
+    return job.spec().gang()
+        || !job.isSuspect() && job.nextPending(0, roundStart) >= 0 && canGatherRoom(job, machine);
+  }
+
+  /**
+   * Whether a machine has room for a task of the job once its present tasks have ended. Replicas do
+   * not end, unless they are being stopped.
+   */
+  static boolean canGatherRoom(Job job, Machine machine) {
+    Resources room = machine.free();
+    for (Placement placement : machine.placements()) {
+      if (placement.halting() || !placement.job().spec().service()) {
+        room = room.plus(placement.job().spec().resources());
+      }
+    }
+    return job.spec().resources().fitsInto(room);
+  }
+
   private void updateUnusedReservations() {
     unusedReservations.keySet().retainAll(reservations.keySet());
     reservations.forEach(
@@ -107,7 +135,7 @@
    * The job that a machine is reserved for, or null. A reservation keeps other jobs away while room
    * is gathered. It lapses once there has been room for long and the job still has not started, for
    * whatever reason: otherwise the machine would stand idle for as long as the job waits. Gangs
-   * start only when all their machines have room, and have a time limit of their own.
+   * start only when all their machines have room.
    */
   private Job holder(Machine machine) {
     Job holder = reservations.get(machine);
--- a/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
+++ b/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
@@ -196,13 +196,14 @@
   }
 
   /**
-   * Reserves the machine that lacks the least room for the job.
+   * Reserves the machine that lacks the least room for the job, of those whose tasks end at some
+   * time.
    *
    * @return false if no eligible machine is large enough; true also if the job has a reservation
-   *     already or the bound on reservations is reached
+   *     already, the bound on reservations is reached, or the job is suspect and merely probed
    */
   boolean reserveNearest(Job job) {
-    if (candidates.reservations().containsValue(job) || !mayReserve()) {
+    if (job.isSuspect() || candidates.reservations().containsValue(job) || !mayReserve()) {
       return true;
     }
     Machine nearest = null;
@@ -210,7 +211,7 @@
     for (Machine machine : candidates.eligible(job, candidates.tasksPerZone(job))) {
       Resources shortfall = job.spec().resources().minus(machine.free());
       double shortage = shortfall.dominantShare(machine.type().resources());
-      if (job.spec().resources().fitsInto(machine.type().resources()) && shortage < least) {
+      if (shortage < least && CandidateMachines.canGatherRoom(job, machine)) {
         least = shortage;
         nearest = machine;
       }
--- a/src/test/java/org/oakwalk/core/fleet/GoneMachinesTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/GoneMachinesTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.oakwalk.core.MachineId;
 
+/** What is remembered of machines that are gone. */
 class GoneMachinesTest {
   /** Guards against memory that grows with every machine that was ever returned. */
   @Test
--- a/src/test/java/org/oakwalk/core/job/TaskBackoffTest.java
+++ b/src/test/java/org/oakwalk/core/job/TaskBackoffTest.java
@@ -6,6 +6,7 @@
 import org.oakwalk.core.MonotonicTime;
 import org.oakwalk.core.TimeSpan;
 
+/** The delays after failures of tasks, and their bound. */
 class TaskBackoffTest {
   private static final MonotonicTime NOW = new MonotonicTime(1_000_000);
 
--- a/src/test/java/org/oakwalk/core/placement/PlacerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PlacerTest.java
@@ -112,6 +112,42 @@
     assertThat(other.isUnassigned(0)).isFalse();
   }
 
+  /**
+   * Guards against idle room on a machine that is reserved for a job which never gets enough there,
+   * since a replica takes the rest: smaller jobs waited beside it for good.
+   */
+  @Test
+  void noReservationWhereRoomNeverComes() {
+    accept("j-1", spec("j-1", JobSpec.Shape.SERVICE, 1, Resources.ofTask(1, 0, 1)));
+    runRound(List.of());
+    Job whole = accept("j-2", 1, Resources.ofTask(2, 0, 1));
+    for (int round = 0; round < 4; round++) {
+      runRound(List.of());
+    }
+    Job other = accept("j-3", 1);
+    long accepted = millis;
+    while (other.isUnassigned(0) && millis - accepted < 90_000) {
+      runRound(List.of());
+    }
+    assertThat(whole.isUnassigned(0)).isTrue();
+    assertThat(other.isUnassigned(0)).isFalse();
+  }
+
+  /** Guards against a machine that is kept for a job which fails everywhere and is only probed. */
+  @Test
+  void suspectJobsKeepNoReservation() {
+    accept("j-1", spec("j-1", JobSpec.Shape.SERVICE, 1, Resources.ofTask(1, 0, 1)));
+    runRound(List.of());
+    Job suspect = accept("j-2", 1, Resources.ofTask(2, 0, 1));
+    for (int round = 0; round < 4; round++) {
+      runRound(List.of());
+    }
+    suspect.markSuspect();
+    Job other = accept("j-3", 1);
+    runRound(List.of());
+    assertThat(other.isUnassigned(0)).isFalse();
+  }
+
   /**
    * Guards against placements that nothing bounds: tasks without resources fit any number of times,
    * and 100,000 of them on one machine made reports and responses of megabytes and ended the leader
