Reservations where room never comes stay, but keep nobody away

Change: the reservation is made as before, so which jobs hold one is as it was; others may use the machine as long as replicas take what its job lacks.

--- a/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
+++ b/src/main/java/org/oakwalk/core/placement/CandidateMachines.java
@@ -43,6 +43,7 @@
   private final Map<Machine, Job> reservations = new LinkedHashMap<>();
 
   private final Map<Machine, UnusedReservation> unusedReservations = new HashMap<>();
+  private final Set<Machine> hopelessReservations = new HashSet<>();
 
   /** The time by which the machines reserved for a gang are expected to be free. */
   private final Map<Job, MonotonicTime> expectedStarts = new HashMap<>();
@@ -83,32 +84,47 @@
     }
     if (!reservations.isEmpty()) {
       reservations.keySet().retainAll(new HashSet<>(all));
-      reservations
-          .entrySet()
-          .removeIf(entry -> !mayHoldReservation(entry.getValue(), entry.getKey()));
+      reservations.values().removeIf(job -> !mayHoldReservation(job));
     }
-    updateUnusedReservations();
+    updateIdleReservations();
     expectedStarts.keySet().removeIf(job -> !job.isOpen() || job.assignedCount() > 0);
     reserve.beginRound(all, reservations);
   }
 
   /**
-   * Whether a job still waits and, unless it is a gang, could start on the machine once tasks there
-   * have ended. Gangs have a time limit of their own.
+   * Whether a job still waits and, unless it is a gang, may start now if there is room. Gangs have
+   * a time limit of their own.
    */
-  private boolean mayHoldReservation(Job job, Machine machine) {
+  private boolean mayHoldReservation(Job job) {
     if (!job.isOpen() || job.pendingCount() <= 0) {
       return false;
     }
-    return job.spec().gang()
-        || !job.isSuspect() && job.nextPending(0, roundStart) >= 0 && canGatherRoom(job, machine);
+    return job.spec().gang() || !job.isSuspect() && job.nextPending(0, roundStart) >= 0;
+  }
+
+  /** Notes how long reserved machines have had room for their jobs, and which never will. */
+  private void updateIdleReservations() {
+    hopelessReservations.clear();
+    unusedReservations.keySet().retainAll(reservations.keySet());
+    reservations.forEach(
+        (machine, holder) -> {
+          UnusedReservation before = unusedReservations.get(machine);
+          if (!holder.spec().resources().fitsInto(machine.free())) {
+            unusedReservations.remove(machine);
+          } else if (before == null || before.holder() != holder) {
+            unusedReservations.put(machine, new UnusedReservation(holder, roundStart));
+          }
+          if (!canGatherRoom(holder, machine)) {
+            hopelessReservations.add(machine);
+          }
+        });
   }
 
   /**
    * Whether a machine has room for a task of the job once its present tasks have ended. Replicas do
    * not end, unless they are being stopped.
    */
-  static boolean canGatherRoom(Job job, Machine machine) {
+  private static boolean canGatherRoom(Job job, Machine machine) {
     Resources room = machine.free();
     for (Placement placement : machine.placements()) {
       if (placement.halting() || !placement.job().spec().service()) {
@@ -118,24 +134,12 @@
     return job.spec().resources().fitsInto(room);
   }
 
-  private void updateUnusedReservations() {
-    unusedReservations.keySet().retainAll(reservations.keySet());
-    reservations.forEach(
-        (machine, holder) -> {
-          UnusedReservation before = unusedReservations.get(machine);
-          if (!holder.spec().resources().fitsInto(machine.free())) {
-            unusedReservations.remove(machine);
-          } else if (before == null || before.holder() != holder) {
-            unusedReservations.put(machine, new UnusedReservation(holder, roundStart));
-          }
-        });
-  }
-
   /**
    * The job that a machine is reserved for, or null. A reservation keeps other jobs away while room
-   * is gathered. It lapses once there has been room for long and the job still has not started, for
-   * whatever reason: otherwise the machine would stand idle for as long as the job waits. Gangs
-   * start only when all their machines have room.
+   * is gathered. It does not where there has been room for long and the job still has not started,
+   * for whatever reason, nor where replicas take what the job lacks: otherwise the rest of the
+   * machine would be idle for as long as the job waits. Gangs start only when all their machines
+   * have room.
    */
   private Job holder(Machine machine) {
     Job holder = reservations.get(machine);
@@ -147,7 +151,7 @@
         unused != null
             && unused.holder() == holder
             && roundStart.isPast(unused.since(), MAX_UNUSED_RESERVATION);
-    return lapsed ? null : holder;
+    return lapsed || hopelessReservations.contains(machine) ? null : holder;
   }
 
   /** The number of machines of each type that accept tasks in this round. */
--- a/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
+++ b/src/main/java/org/oakwalk/core/placement/UnplacedJobHandler.java
@@ -196,8 +196,7 @@
   }
 
   /**
-   * Reserves the machine that lacks the least room for the job, of those whose tasks end at some
-   * time.
+   * Reserves the machine that lacks the least room for the job.
    *
    * @return false if no eligible machine is large enough; true also if the job has a reservation
    *     already, the bound on reservations is reached, or the job is suspect and merely probed
@@ -211,7 +210,7 @@
     for (Machine machine : candidates.eligible(job, candidates.tasksPerZone(job))) {
       Resources shortfall = job.spec().resources().minus(machine.free());
       double shortage = shortfall.dominantShare(machine.type().resources());
-      if (shortage < least && CandidateMachines.canGatherRoom(job, machine)) {
+      if (job.spec().resources().fitsInto(machine.type().resources()) && shortage < least) {
         least = shortage;
         nearest = machine;
       }
--- a/src/test/java/org/oakwalk/core/placement/PlacerTest.java
+++ b/src/test/java/org/oakwalk/core/placement/PlacerTest.java
@@ -117,7 +117,7 @@
    * since a replica takes the rest: smaller jobs waited beside it for good.
    */
   @Test
-  void noReservationWhereRoomNeverComes() {
+  void reservationKeepsNobodyAwayWhereRoomNeverComes() {
     accept("j-1", spec("j-1", JobSpec.Shape.SERVICE, 1, Resources.ofTask(1, 0, 1)));
     runRound(List.of());
     Job whole = accept("j-2", 1, Resources.ofTask(2, 0, 1));
