A probe is an ordinary task once the judgement of its machine is withdrawn

Found in reading: a probe that failed after the evidence had been withdrawn excluded a healthy machine, until the next judgement a second later, for one error. MachineHealthTest.probeIsAnOrdinaryTaskOnceTheJudgementIsWithdrawn fails before.

--- a/src/main/java/org/oakwalk/core/fleet/MachineHealth.java
+++ b/src/main/java/org/oakwalk/core/fleet/MachineHealth.java
@@ -308,5 +308,9 @@
       throw new IllegalStateException("illegal change of health from " + state + " to " + next);
     }
     state = next;
+    if (!excluded()) {
+      // A probe that is still running is an ordinary task from now on.
+      probe = null;
+    }
   }
 }
--- a/src/test/java/org/oakwalk/core/fleet/MachineHealthTest.java
+++ b/src/test/java/org/oakwalk/core/fleet/MachineHealthTest.java
@@ -175,6 +175,17 @@
     assertThat(health.probeDue()).isTrue();
   }
 
+  /** Guards against a machine that is excluded for one error, by a probe begun before. */
+  @Test
+  void probeIsAnOrdinaryTaskOnceTheJudgementIsWithdrawn() {
+    Placement probe = startProbe();
+    jobs.subList(0, 3).forEach(job -> job.markEnded(true, new Revision(9)));
+    expect(MachineHealth.State.HEALTHY);
+    health.recordFailure(probe.job(), probe, now);
+    assertThat(health.state()).isEqualTo(MachineHealth.State.HEALTHY);
+    expect(MachineHealth.State.SUSPECTED);
+  }
+
   /** A mistaken job that served as the probe does not delay the next one. */
   @Test
   void probeOfSuspectJobIsNoEvidence() {
